--- /dev/null
+++ b/gather/gather.go
@@ -0,0 +1,106 @@
+// Package gather decides how one query is spread over its shards and when its answer is ready.
+package gather
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"pistachioshore.dev/catalog"
+	"pistachioshore.dev/record"
+	"pistachioshore.dev/result"
+)
+
+// maxAttempts bounds the attempts of one shard, the first and its hedge included.
+const maxAttempts = 4
+
+// Chooser picks the replica of a service that an attempt goes to.
+type Chooser interface {
+	// Choose returns one of the candidates, which are never empty.
+	Choose(now time.Time, r *rand.Rand, candidates []string) string
+	// HedgeDelay returns how long a part of the group may take before a hedge is worth its cost.
+	HedgeDelay(group string) time.Duration
+	// Typical returns the median time of a part of the group.
+	Typical(group string) time.Duration
+	// Queued reports whether the owner of the upstream last reported a queue.
+	Queued(server string) bool
+}
+
+// Budget grants the attempts beyond the first.
+type Budget interface {
+	Earn(primaries int)
+	AllowHedge() bool
+	AllowRetry() bool
+}
+
+// Plan is everything that a query needs to know before its first sub-request.
+type Plan struct {
+	Snapshot        uint64
+	Revision        uint64
+	Shards          []ShardPlan
+	Limit           int
+	Deadline        time.Time
+	MinimumCoverage float64
+	StragglerWait   time.Duration
+	Canary          bool // run one shard alone first, because the fingerprint is not known to be good
+}
+
+// ShardPlan is one shard with the upstreams that can serve it; Refused says why there are none.
+type ShardPlan struct {
+	Shard    catalog.Shard
+	Replicas []string
+	Refused  result.Code
+}
+
+// Attempt is one sub-request to one upstream.
+type Attempt struct {
+	Shard  int // index into Plan.Shards
+	Number int // from 1, counted for each shard
+	Server string
+	Hedge  bool
+}
+
+// Part is the outcome of an attempt.
+type Part struct {
+	Shard    int
+	Number   int
+	Code     result.Code
+	Snapshot uint64
+	Records  []record.Record
+	Matched  int
+}
+
+// Step is what the caller of a Query method has to do next.
+type Step struct {
+	Send     []Attempt
+	Cancel   []Attempt
+	WakeAt   time.Time // zero if no wake-up is needed
+	CanaryOK bool      // the canary request has succeeded
+	Done     bool      // the answer is ready
+	Restart  bool      // the query is worth starting over on the newest snapshot
+}
+
+// Missing is a shard that the answer lacks.
+type Missing struct {
+	Shard catalog.Shard
+	Code  result.Code
+}
+
+// Answer is a complete or partial answer from one snapshot.
+type Answer struct {
+	Code     result.Code
+	Snapshot uint64
+	Revision uint64
+	Covered  []string
+	Missing  []Missing
+	Records  []record.Record
+	Matched  int
+}
+
+// Share returns the covered share of the shards, from 0 to 1.
+func (a Answer) Share() float64 {
+	n := len(a.Covered) + len(a.Missing)
+	if n == 0 {
+		return 0
+	}
+	return float64(len(a.Covered)) / float64(n)
+}
--- /dev/null
+++ b/standin/standin.go
@@ -0,0 +1,63 @@
+// Package standin describes the stand-ins for the platform and the upstreams, which tests and the demo run against.
+package standin
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Handler is a stand-in that can be served.
+type Handler interface {
+	http.Handler
+}
+
+// Server serves one stand-in on one address.
+type Server struct {
+	listener net.Listener
+	http     *http.Server
+	done     chan struct{}
+}
+
+// Serve listens on address and serves h until Close; port 0 picks a free one.
+func Serve(address netip.AddrPort, h Handler) (*Server, error) {
+	l, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen on %s", address)
+	}
+	s := &Server{
+		listener: l,
+		http:     &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second},
+		done:     make(chan struct{}),
+	}
+	go s.serve()
+	return s, nil
+}
+
+// Address returns the address that the server listens on.
+func (s *Server) Address() netip.AddrPort {
+	return s.listener.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// Close ends the listener and every connection.
+func (s *Server) Close() error {
+	err := s.http.Close()
+	<-s.done
+	return errors.Wrap(err, "close stand-in")
+}
+
+// Shutdown ends the listener and waits for requests under way.
+func (s *Server) Shutdown(ctx context.Context) error {
+	err := s.http.Shutdown(ctx)
+	<-s.done
+	return errors.Wrap(err, "shut stand-in down")
+}
+
+func (s *Server) serve() {
+	defer close(s.done)
+	_ = s.http.Serve(s.listener) // always ends with ErrServerClosed
+}
--- /dev/null
+++ b/transport/rest/options.go
@@ -0,0 +1,21 @@
+package rest
+
+import "go.opentelemetry.io/contrib/instrumentation/net/http/otelhttp"
+
+type options struct {
+	maxBody int64
+	trace   []otelhttp.Option
+}
+
+// Option changes a setting of a client.
+type Option func(o *options)
+
+// WithMaxBody bounds the bytes of one response; the default is 1 MiB.
+func WithMaxBody(n int64) Option {
+	return func(o *options) { o.maxBody = n }
+}
+
+// WithTrace passes options to the instrumentation that makes a span for each call.
+func WithTrace(opts ...otelhttp.Option) Option {
+	return func(o *options) { o.trace = append(o.trace, opts...) }
+}
--- /dev/null
+++ b/transport/rest/rest.go
@@ -0,0 +1,228 @@
+// Package rest calls upstreams over HTTP, one call at a time on each connection.
+package rest
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.opentelemetry.io/contrib/instrumentation/net/http/otelhttp"
+
+	"pistachioshore.dev/codec"
+	"pistachioshore.dev/result"
+	"pistachioshore.dev/transport"
+	"pistachioshore.dev/wire"
+)
+
+// Client opens HTTP connections to upstreams.
+type Client struct {
+	opts   options
+	dialer net.Dialer
+}
+
+var _ transport.Upstream = (*Client)(nil)
+
+// New returns a client.
+func New(opts ...Option) *Client {
+	o := options{maxBody: 1 << 20}
+	for _, opt := range opts {
+		opt(&o)
+	}
+	return &Client{opts: o}
+}
+
+// Connect opens one connection.
+func (c *Client) Connect(ctx context.Context, address netip.AddrPort) (transport.Conn, error) {
+	nc, err := c.dialer.DialContext(ctx, "tcp", address.String())
+	if err != nil {
+		return nil, errors.Wrapf(err, "connect to %s", address)
+	}
+	return newConn(address, nc, c.opts), nil
+}
+
+// conn owns an HTTP transport that can use nothing but one TCP connection, so that no call is
+// sent again behind the caller's back.
+type conn struct {
+	base    string
+	watched *watchedConn
+	taken   atomic.Bool
+	client  *http.Client
+	maxBody int64
+}
+
+func newConn(address netip.AddrPort, nc net.Conn, o options) *conn {
+	c := &conn{
+		base:    "http://" + address.String(),
+		watched: &watchedConn{Conn: nc, lost: make(chan struct{})},
+		maxBody: o.maxBody,
+	}
+	t := &http.Transport{DialContext: c.dial, MaxConnsPerHost: 1, DisableCompression: true}
+	c.client = &http.Client{Transport: otelhttp.NewTransport(t, o.trace...)}
+	return c
+}
+
+// dial hands out the connection once; a second request for one means that the first is lost.
+func (c *conn) dial(context.Context, string, string) (net.Conn, error) {
+	if c.taken.Swap(true) {
+		return nil, errors.New("the connection is lost")
+	}
+	return c.watched, nil
+}
+
+// Lost is closed once the other end or a call has ended the connection.
+func (c *conn) Lost() <-chan struct{} {
+	return c.watched.lost
+}
+
+// Close ends the connection.
+func (c *conn) Close() error {
+	return c.watched.Close()
+}
+
+// Do runs one call and says in the reply's code whether the upstream may have started it.
+func (c *conn) Do(ctx context.Context, call transport.Call) transport.Reply {
+	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
+	defer cancel()
+	before := c.watched.written.Load()
+	resp, err := c.send(ctx, call)
+	if err != nil {
+		_ = c.Close()
+		return transport.Reply{Code: failure(ctx, c.watched.written.Load() > before)}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	reply := decode(resp, c.maxBody)
+	if reply.Code == result.ConnectionLost {
+		_ = c.Close()
+	}
+	return reply
+}
+
+func (c *conn) send(ctx context.Context, call transport.Call) (*http.Response, error) {
+	path, body, err := encode(call)
+	if err != nil {
+		return nil, err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, errors.Wrap(err, "build request")
+	}
+	req.GetBody = nil // without it, net/http cannot replay the body on another connection
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("Request-Id", call.RequestID)
+	req.Header.Set("Attempt", strconv.Itoa(call.Attempt))
+	req.Header.Set("Deadline", call.Deadline.UTC().Format(time.RFC3339Nano))
+	req.Header.Set("Snapshot", strconv.FormatUint(call.Snapshot, 10))
+	return c.client.Do(req)
+}
+
+func encode(call transport.Call) (path string, body []byte, err error) {
+	if call.Operation != "" {
+		body, err = json.Marshal(wire.ExecuteRequest{Operation: call.Operation, Key: call.Key, Quantity: call.Quantity})
+		return "/v1/execute", body, err
+	}
+	body, err = json.Marshal(wire.SearchRequest{
+		Shard: call.Shard, Snapshot: call.Snapshot, Filter: codec.ToWireFilter(call.Filter), Limit: call.Limit,
+	})
+	return "/v1/search", body, err
+}
+
+// failure names the outcome of a call without a response.
+func failure(ctx context.Context, written bool) result.Code {
+	switch {
+	case !written:
+		return result.Unreachable
+	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
+		return result.Late
+	default:
+		return result.ConnectionLost
+	}
+}
+
+func decode(resp *http.Response, limit int64) transport.Reply {
+	reply := transport.Reply{Incarnation: resp.Header.Get("Incarnation")}
+	reply.Code = statusCode(resp)
+	if reply.Code != result.Complete {
+		return reply
+	}
+	if resp.Request.URL.Path == "/v1/execute" {
+		return decodeExecute(resp, limit, reply)
+	}
+	v, err := codec.DecodeJSON[wire.SearchResponse](resp.Body, int(limit))
+	if err != nil {
+		reply.Code = result.ConnectionLost
+		return reply
+	}
+	reply.Snapshot = v.Snapshot
+	reply.Records = codec.FromWireRecords(v.Records)
+	reply.Matched = v.Matched
+	return reply
+}
+
+func decodeExecute(resp *http.Response, limit int64, reply transport.Reply) transport.Reply {
+	v, err := codec.DecodeJSON[wire.ExecuteResponse](resp.Body, int(limit))
+	if err != nil {
+		reply.Code = result.ConnectionLost
+		return reply
+	}
+	reply.Code = result.Executed
+	reply.Receipt = v.Receipt
+	return reply
+}
+
+func statusCode(resp *http.Response) result.Code {
+	switch {
+	case resp.StatusCode == http.StatusOK:
+		return result.Complete
+	case resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get("Shed") == "true":
+		return result.UpstreamShed
+	case resp.StatusCode == http.StatusConflict:
+		return result.SnapshotGone
+	case resp.StatusCode == http.StatusRequestTimeout:
+		return result.DeadlineExpired
+	case resp.StatusCode == http.StatusNotFound:
+		return result.UnknownShard
+	default:
+		return result.UpstreamFailed
+	}
+}
+
+// watchedConn counts what was written and tells when the connection ends.
+type watchedConn struct {
+	net.Conn
+	written atomic.Int64
+	once    sync.Once
+	lost    chan struct{}
+}
+
+// Read marks the connection lost when the other end has closed or reset it.
+func (w *watchedConn) Read(b []byte) (int, error) {
+	n, err := w.Conn.Read(b)
+	if err != nil {
+		w.markLost()
+	}
+	return n, err
+}
+
+// Write counts the bytes that may have reached the upstream.
+func (w *watchedConn) Write(b []byte) (int, error) {
+	w.written.Add(int64(len(b))) // counted first: a failed write may still have sent a part
+	return w.Conn.Write(b)
+}
+
+// Close ends the connection.
+func (w *watchedConn) Close() error {
+	w.markLost()
+	return w.Conn.Close()
+}
+
+func (w *watchedConn) markLost() {
+	w.once.Do(func() { close(w.lost) })
+}
--- /dev/null
+++ b/transport/transport.go
@@ -0,0 +1,74 @@
+// Package transport states how VMs reach upstreams, other VMs and the platform.
+package transport
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"pistachioshore.dev/record"
+	"pistachioshore.dev/result"
+	"pistachioshore.dev/wire"
+)
+
+// Upstream opens connections to upstreams.
+type Upstream interface {
+	// Connect opens one connection; an error means that nothing was sent.
+	Connect(ctx context.Context, address netip.AddrPort) (Conn, error)
+}
+
+// Conn is one connection to an upstream; it carries one call at a time and is never reopened.
+type Conn interface {
+	// Do runs one call; the reply's code tells whether the upstream may have started it.
+	Do(ctx context.Context, call Call) Reply
+	// Lost is closed once the connection can carry no further call.
+	Lost() <-chan struct{}
+	// Close ends the connection.
+	Close() error
+}
+
+// Call is one sub-request as an upstream sees it.
+type Call struct {
+	RequestID string
+	Attempt   int
+	Deadline  time.Time // the upstream does not start the call after it
+	Snapshot  uint64
+	Shard     string
+	Filter    record.Filter
+	Limit     int
+	Operation string // set for a non-idempotent call
+	Key       string
+	Quantity  int
+}
+
+// Reply is the outcome of a call.
+type Reply struct {
+	Code        result.Code
+	Incarnation string // empty if the upstream did not answer
+	Snapshot    uint64
+	Records     []record.Record
+	Matched     int
+	Receipt     string
+}
+
+// Platform reads what the platform publishes.
+type Platform interface {
+	// Config returns the published configuration. With wait it blocks until the value differs
+	// from the one with the given tag, or until wait is over.
+	Config(ctx context.Context, tag string, wait time.Duration) (Published, error)
+	// VMs returns the lagging list of VMs.
+	VMs(ctx context.Context) (wire.VMList, error)
+}
+
+// Published is a value of the configuration service with the tag that names its version.
+type Published struct {
+	Tag     string
+	Value   []byte
+	Changed bool
+}
+
+// Peer sends messages to another VM.
+type Peer interface {
+	// Send queues a message without blocking; false means that it was not sent.
+	Send(vm netip.AddrPort, message *wire.Envelope) bool
+}
