--- /dev/null
+++ b/cmd/pistachioshore/main.go
@@ -0,0 +1,29 @@
+// Command pistachioshore runs an entry VM and its callers' and operators' tools.
+package main
+
+import (
+	"os"
+
+	"github.com/alecthomas/kong"
+)
+
+// commands lists the subcommands.
+type commands struct {
+	Entry entryCommand `cmd:"" help:"Run the process of one entry VM."`
+	Query queryCommand `cmd:"" help:"Send a look-up and print its answer."`
+	Check checkCommand `cmd:"" help:"Check a configuration file as an entry VM would."`
+}
+
+func main() {
+	var cli commands
+	k := kong.Parse(&cli,
+		kong.Name("pistachioshore"),
+		kong.Description("A query tier over many shards."),
+		kong.DefaultEnvars("PISTACHIO"),
+		kong.UsageOnError(),
+	)
+	k.BindTo(os.Stdout, (*output)(nil))
+	status, err := run(k)
+	k.FatalIfErrorf(err)
+	os.Exit(status)
+}
