--- /dev/null
+++ b/audit/audit.go
@@ -0,0 +1,2 @@
+// Package audit compares answers with what the upstreams counted.
+package audit
--- /dev/null
+++ b/load/load.go
@@ -0,0 +1,2 @@
+// Package load generates load and measures policies against each other.
+package load
--- /dev/null
+++ b/permit/permit.go
@@ -0,0 +1,2 @@
+// Package permit allows non-idempotent requests to run at most once.
+package permit
--- /dev/null
+++ b/quarantine/quarantine.go
@@ -0,0 +1,2 @@
+// Package quarantine keeps requests that crash upstreams from running again.
+package quarantine
--- /dev/null
+++ b/shutdown/shutdown.go
@@ -0,0 +1,2 @@
+// Package shutdown orders the steps of a graceful shutdown.
+package shutdown
--- /dev/null
+++ b/telemetry/telemetry.go
@@ -0,0 +1,2 @@
+// Package telemetry sets up logs, metrics and traces.
+package telemetry
