--- /dev/null
+++ b/cmd/pistachioshore/caller.go
@@ -0,0 +1,81 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"pistachioshore.dev/codec"
+	"pistachioshore.dev/result"
+	"pistachioshore.dev/wire"
+)
+
+// Exit statuses of query and order.
+const (
+	exitPartial = 3
+	exitRefused = 4
+	exitUnknown = 5
+)
+
+// maxAnswerBytes bounds what a caller reads of one answer.
+const maxAnswerBytes = 16 << 20
+
+// caller sends requests to one entry VM or to the load balancer before several.
+type caller struct {
+	base   string
+	client *http.Client
+}
+
+func newCaller(address netip.AddrPort) *caller {
+	return &caller{
+		base:   "http://" + address.String(),
+		client: &http.Client{Timeout: codec.MaxDeadline + time.Second},
+	}
+}
+
+// post sends a JSON body; the caller closes the response's body.
+func (c *caller) post(path string, body any) (*http.Response, error) {
+	b, err := json.Marshal(body)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode request")
+	}
+	resp, err := c.client.Post(c.base+path, "application/json", bytes.NewReader(b))
+	return resp, errors.Wrap(err, "send request")
+}
+
+// read decodes an answer, or returns the refusal as an error.
+func read[T any](resp *http.Response) (T, error) {
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode == http.StatusOK {
+		return codec.DecodeJSON[T](resp.Body, maxAnswerBytes)
+	}
+	var none T
+	v, err := codec.DecodeJSON[wire.Refusal](resp.Body, maxAnswerBytes)
+	if err != nil {
+		return none, errors.Wrapf(err, "the entry VM answered %s", resp.Status)
+	}
+	return none, codec.FromWireRefusal(&v)
+}
+
+// printRefusal prints a coded refusal and returns the exit status that goes with it.
+func printRefusal(out output, err error) error {
+	var fault *result.Error
+	if !errors.As(err, &fault) {
+		return err
+	}
+	fmt.Fprintf(out, "refused %s (%s)\n", fault, fault.Code.Effect())
+	if fault.Code.Effect() == result.NotRun {
+		return exitStatus(exitRefused)
+	}
+	return exitStatus(exitUnknown)
+}
+
+// printJSON prints a value as one JSON object.
+func printJSON(out output, v any) error {
+	return errors.Wrap(json.NewEncoder(out).Encode(v), "print report")
+}
--- a/cmd/pistachioshore/entry.go
+++ b/cmd/pistachioshore/entry.go
@@ -1,71 +1,64 @@
 package main
 
 import (
-	"context"
-	"net"
-	"net/http"
 	"net/netip"
 	"os"
+	"strconv"
 	"time"
 
-	"github.com/go-kit/log"
-	"go.uber.org/fx"
-	"go.uber.org/fx/fxevent"
-
-	"pistachioshore.dev/entry"
-	"pistachioshore.dev/entry/front"
+	"pistachioshore.dev/entry/process"
 	"pistachioshore.dev/entry/vm"
-	"pistachioshore.dev/transport"
-	"pistachioshore.dev/transport/feed"
-	"pistachioshore.dev/transport/rest"
+	"pistachioshore.dev/result"
+	"pistachioshore.dev/telemetry"
 )
 
 // entryCommand holds the settings of an entry VM.
 type entryCommand struct {
-	Listen   netip.AddrPort `required:"" help:"Address and port that callers and other VMs reach this VM at."`
-	Zone     string         `required:"" help:"Availability zone of this VM."`
-	Platform netip.AddrPort `required:"" help:"Address and port of the platform's configuration service."`
-	Workers  int            `default:"256" help:"Workers of the pool; bounds the calls under way at upstreams."`
+	Listen        netip.AddrPort `required:"" help:"Address and port that callers and other VMs reach this VM at."`
+	Zone          string         `required:"" help:"Availability zone of this VM."`
+	Platform      netip.AddrPort `required:"" help:"Address and port of the platform's configuration service and list of VMs."`
+	Workers       int            `default:"512" help:"Calls under way at upstreams at one time, 1 to 10000."`
+	BalancerLag   time.Duration  `default:"1s" help:"Time that the load balancer needs to notice that this VM is not ready."`
+	LogLevel      string         `default:"info" enum:"debug,info,warn,error" help:"Least level of log lines: debug, info, warn or error."`
+	LogFormat     string         `default:"logfmt" enum:"logfmt,json" help:"Form of log lines: logfmt or json."`
+	Traces        string         `default:"none" enum:"none,file,otlp" help:"Where spans go: none, file or otlp."`
+	TracesFile    string         `type:"path" help:"File for spans, with --traces=file."`
+	TracesAddress string         `help:"Host and port of an OTLP receiver, with --traces=otlp."`
 }
 
 // Run serves until the process is told to stop.
 func (c *entryCommand) Run() error {
-	app := fx.New(
-		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
-		fx.Supply(vm.Settings{Address: c.Listen, Zone: c.Zone, Workers: c.Workers}),
-		fx.Provide(
-			newLogger,
-			func() transport.Platform { return feed.New(c.Platform) },
-			func() transport.Upstream { return rest.New() },
-			vm.New,
-			func(v *vm.VM) entry.Tier { return v },
-			front.New,
-		),
-		fx.Invoke(startVM, serveFront),
-	)
+	s, err := c.settings()
+	if err != nil {
+		return err
+	}
+	app := process.New(s)
 	app.Run()
 	return app.Err()
 }
 
-func newLogger() log.Logger {
-	return log.With(log.NewLogfmtLogger(log.NewSyncWriter(os.Stderr)), "ts", log.DefaultTimestampUTC)
-}
-
-func startVM(lc fx.Lifecycle, v *vm.VM) {
-	lc.Append(fx.StartStopHook(v.Start, v.Stop))
-}
-
-func serveFront(lc fx.Lifecycle, s vm.Settings, f *front.Front) {
-	server := &http.Server{Handler: f, ReadHeaderTimeout: 2 * time.Second, ReadTimeout: 5 * time.Second}
-	lc.Append(fx.Hook{
-		OnStart: func(context.Context) error {
-			l, err := net.Listen("tcp", s.Address.String())
-			if err != nil {
-				return err
-			}
-			go func() { _ = server.Serve(l) }() // ends with ErrServerClosed at the stop
-			return nil
+// settings checks the flags and turns them into the settings of the process.
+func (c *entryCommand) settings() (process.Settings, error) {
+	const maxWorkers = 10000
+	const maxLag = 4 * time.Second // leaves half of the shutdown's bound for the rest
+	switch {
+	case c.Workers < 1 || c.Workers > maxWorkers:
+		return process.Settings{}, result.Field(result.OutOfRange, "--workers", strconv.Itoa(c.Workers), "1 to 10000")
+	case c.BalancerLag < 0 || c.BalancerLag > maxLag:
+		return process.Settings{}, result.Field(result.OutOfRange, "--balancer-lag", c.BalancerLag.String(), "0s to "+maxLag.String())
+	case c.Listen.Port() == 0 || c.Listen.Addr().IsUnspecified():
+		return process.Settings{}, result.Field(result.OutOfRange, "--listen", c.Listen.String(), "an address that other VMs can reach, with a port above 0")
+	case c.Traces == "file" && c.TracesFile == "":
+		return process.Settings{}, result.Field(result.MissingField, "--traces-file", "", "a file path, with --traces=file")
+	case c.Traces == "otlp" && c.TracesAddress == "":
+		return process.Settings{}, result.Field(result.MissingField, "--traces-address", "", "a host and port, with --traces=otlp")
+	}
+	return process.Settings{
+		VM: vm.Settings{
+			Address: c.Listen, Zone: c.Zone, Workers: c.Workers, BalancerLag: c.BalancerLag,
+			Incarnation: uint64(time.Now().UnixNano()),
 		},
-		OnStop: server.Shutdown,
-	})
+		Platform:  c.Platform,
+		LogOutput: os.Stderr,
+	}, nil
 }
--- a/cmd/pistachioshore/query.go
+++ b/cmd/pistachioshore/query.go
@@ -1,69 +1,59 @@
 package main
 
 import (
-	"bytes"
-	"encoding/json"
 	"fmt"
-	"net/http"
 	"net/netip"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
-	"pistachioshore.dev/codec"
 	"pistachioshore.dev/result"
 	"pistachioshore.dev/wire"
 )
 
-// Exit statuses of query and order.
-const (
-	exitComplete = 0
-	exitPartial  = 3
-	exitRefused  = 4
-	exitUnknown  = 5
-)
-
 // queryCommand holds the flags of a look-up.
 type queryCommand struct {
-	Entry    netip.AddrPort `required:"" help:"Address and port of an entry VM or of the balancer."`
+	Entry    netip.AddrPort `required:"" help:"Address and port of an entry VM or of the load balancer."`
 	Route    string         `required:"" help:"Route of the configuration, for example breakdown-lookup."`
 	Groups   []string       `help:"Groups of the route to search; all of them if absent."`
+	Class    string         `help:"Priority class, if less urgent than the route's: normal or background."`
 	Deadline time.Duration  `default:"0s" help:"Longest wait; the route's deadline if zero."`
 	Kind     string         `help:"Kind of the records: part, job, batch or reject-mark."`
+	KeyFrom  string         `help:"First key, inclusive."`
+	KeyTo    string         `help:"End of the keys, exclusive."`
 	Contains string         `help:"Text that the records contain."`
 	Limit    int            `default:"10" help:"Most records to return."`
+	Report   string         `default:"text" enum:"text,json" help:"Form of the answer: text or json."`
 }
 
-// Run sends the query and prints the answer.
+// Run sends the query and prints the answer; it ends with 0 complete, 3 partial, 4 refused or 5 unknown.
 func (c *queryCommand) Run(out output) error {
 	req := wire.QueryRequest{
-		Route: c.Route, Groups: c.Groups, Limit: c.Limit,
-		Filter: &wire.Filter{Kind: c.Kind, Contains: c.Contains},
+		Route: c.Route, Groups: c.Groups, Class: c.Class, Limit: c.Limit,
+		Filter: &wire.Filter{Kind: c.Kind, KeyFrom: c.KeyFrom, KeyTo: c.KeyTo, Contains: c.Contains},
 	}
 	if c.Deadline > 0 {
 		req.Deadline = c.Deadline.String()
 	}
-	body, err := json.Marshal(req)
+	resp, err := newCaller(c.Entry).post("/v1/query", req)
 	if err != nil {
-		return errors.Wrap(err, "encode query")
+		return err
 	}
-	client := &http.Client{Timeout: codec.MaxDeadline + time.Second}
-	resp, err := client.Post("http://"+c.Entry.String()+"/v1/query", "application/json", bytes.NewReader(body))
+	a, err := read[wire.QueryAnswer](resp)
 	if err != nil {
-		return errors.Wrap(err, "send query")
-	}
-	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode != http.StatusOK {
-		return printRefusal(out, resp)
+		return printRefusal(out, err)
 	}
-	a, err := codec.DecodeJSON[wire.QueryAnswer](resp.Body, 16<<20)
-	if err != nil {
+	if err := printAnswer(out, a, c.Report); err != nil {
 		return err
 	}
-	return printAnswer(out, a)
+	if result.Code(a.Code) == result.Partial {
+		return exitStatus(exitPartial)
+	}
+	return nil
 }
 
-func printAnswer(out output, a wire.QueryAnswer) error {
+func printAnswer(out output, a wire.QueryAnswer, report string) error {
+	if report == "json" {
+		return printJSON(out, a)
+	}
 	total := len(a.Coverage.Covered) + len(a.Coverage.Missing)
 	fmt.Fprintf(out, "result %d %s (%s), snapshot %d, configuration %d\n", a.Code, a.Result, a.Effect, a.Snapshot, a.Revision)
 	fmt.Fprintf(out, "shards %d of %d covered, %d records matched\n", len(a.Coverage.Covered), total, a.Matched)
@@ -73,21 +63,5 @@
 	for _, r := range a.Records {
 		fmt.Fprintf(out, "%s\t%s\tschema %d\t%s%s\t%d\n", r.Key, r.Kind, r.Schema, r.Description, r.Model, r.Quantity)
 	}
-	if result.Code(a.Code) == result.Partial {
-		return exitStatus(exitPartial)
-	}
 	return nil
 }
-
-func printRefusal(out output, resp *http.Response) error {
-	v, err := codec.DecodeJSON[wire.Refusal](resp.Body, 1<<20)
-	if err != nil {
-		return errors.Wrapf(err, "entry VM answered %s", resp.Status)
-	}
-	fault := &result.Error{Code: result.Code(v.Code), Path: v.Path, Value: v.Value, Allowed: v.Allowed, Detail: v.Detail}
-	fmt.Fprintf(out, "refused %s (%s)\n", fault, v.Effect)
-	if fault.Code.Effect() == result.NotRun {
-		return exitStatus(exitRefused)
-	}
-	return exitStatus(exitUnknown)
-}
--- /dev/null
+++ b/cmd/pistachioshore/status.go
@@ -0,0 +1,73 @@
+package main
+
+import (
+	"fmt"
+	"net/netip"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/cockroachdb/errors"
+
+	"pistachioshore.dev/wire"
+)
+
+// statusCommand holds the flags of a status report.
+type statusCommand struct {
+	Entry  netip.AddrPort `required:"" help:"Address and port of an entry VM."`
+	Report string         `default:"text" enum:"text,json" help:"Form of the report: text or json."`
+}
+
+// Run prints what one VM believes.
+func (c *statusCommand) Run(out output) error {
+	caller := newCaller(c.Entry)
+	resp, err := caller.client.Get(caller.base + "/v1/status")
+	if err != nil {
+		return errors.Wrap(err, "read status")
+	}
+	s, err := read[wire.Status](resp)
+	if err != nil {
+		return err
+	}
+	if c.Report == "json" {
+		return printJSON(out, s)
+	}
+	return printStatus(out, s)
+}
+
+func printStatus(out output, s wire.Status) error {
+	fmt.Fprintf(out, "VM %s in %s, incarnation %d, ready %t, phase %s\n", s.Address, s.Zone, s.Incarnation, s.Ready, s.Phase)
+	fmt.Fprintf(out, "configuration %d (%s), confirmed %s ago, snapshot %d, zones out: %s\n",
+		s.Revision, s.Digest, s.ConfigAge, s.Snapshot, orNone(strings.Join(s.ZonesOut, ", ")))
+	fmt.Fprintf(out, "in flight %d, permits %d, fingerprints quarantined %d\n\n", s.InFlight, s.Permits, s.Quarantined)
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "PEER\tZONE\tSTATE\tLAST HEARD\tINCARNATION")
+	for _, p := range s.Peers {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\n", p.Address, p.Zone, p.State, p.Age, p.Incarnation)
+	}
+	fmt.Fprintln(w, "\nOWNED UPSTREAM\tSTATE\tRUNNING\tQUEUED\tCONNECTIONS\tVERIFIED\tINCARNATION")
+	for _, u := range s.Upstreams {
+		if u.Owned {
+			fmt.Fprintf(w, "%s\t%s\t%d of %d\t%d\t%d\t%d\t%s\n",
+				u.Upstream, warmth(u.Cold), u.Running, u.Limit, u.Queued, u.Connections, u.Verified, u.Incarnation)
+		}
+	}
+	fmt.Fprintln(w, "\nROUTE\tHEDGE BUDGET\tRETRY BUDGET")
+	for _, b := range s.Budgets {
+		fmt.Fprintf(w, "%s\t%.1f\t%.1f\n", b.Route, b.Hedges, b.Retries)
+	}
+	return w.Flush()
+}
+
+func warmth(cold bool) string {
+	if cold {
+		return "cold"
+	}
+	return "warm"
+}
+
+func orNone(s string) string {
+	if s == "" {
+		return "none"
+	}
+	return s
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -6,16 +6,25 @@
 	"time"
 
 	"pistachioshore.dev/gather"
+	"pistachioshore.dev/permit"
 	"pistachioshore.dev/record"
+	"pistachioshore.dev/result"
+	"pistachioshore.dev/wire"
 )
 
-// Tier answers the requests of callers.
+// Tier answers the requests of callers. Its errors are *result.Error.
 type Tier interface {
-	// Query spreads a query over its shards; errors are *result.Error.
+	// Query fans a look-up out to its shards and returns a complete or partial answer.
 	Query(ctx context.Context, q Query) (gather.Answer, error)
-	// Ready reports whether the balancer should send requests here.
+	// Permit issues a permit for one order.
+	Permit(ctx context.Context) (permit.Permit, error)
+	// Order runs a non-idempotent operation at most once, or returns the kept outcome of its permit.
+	Order(ctx context.Context, o Order) (Outcome, error)
+	// Status returns what the VM believes.
+	Status() wire.Status
+	// Ready reports whether the load balancer should send requests here.
 	Ready() bool
-	// Limits returns the largest body in bytes that is read now.
+	// BodyLimit returns the largest body in bytes that is read now.
 	BodyLimit() int
 }
 
@@ -23,9 +32,26 @@
 type Query struct {
 	ID       string
 	Route    string
-	Groups   []string // all groups of the route if empty
-	Class    string   // the route's class if empty
-	Deadline time.Duration
+	Groups   []string      // all groups of the route if empty
+	Class    string        // the route's class if empty; a caller may only ask for a less urgent one
+	Deadline time.Duration // the route's deadline if zero
 	Filter   record.Filter
-	Limit    int
+	Limit    int // the configuration's limit if zero
+}
+
+// Order is a caller's request for one run of a non-idempotent operation.
+type Order struct {
+	ID        string
+	Route     string
+	Operation string
+	Key       string
+	Quantity  int
+	Deadline  time.Duration // the route's deadline if zero
+	Permit    permit.Permit
+}
+
+// Outcome tells how an order ended.
+type Outcome struct {
+	Code    result.Code
+	Receipt string
 }
--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -2,11 +2,13 @@
 package front
 
 import (
-	"crypto/rand"
+	"context"
+	crand "crypto/rand"
+	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/gin-gonic/gin"
 
 	"pistachioshore.dev/codec"
@@ -28,6 +30,9 @@
 	f := &Front{tier: tier, engine: gin.New()}
 	f.engine.Use(gin.CustomRecovery(recovered))
 	f.engine.POST("/v1/query", f.query)
+	f.engine.POST("/v1/permits", f.permit)
+	f.engine.POST("/v1/orders", f.order)
+	f.engine.GET("/v1/status", func(c *gin.Context) { c.JSON(http.StatusOK, f.tier.Status()) })
 	f.engine.GET("/live", func(c *gin.Context) { c.Status(http.StatusNoContent) })
 	f.engine.GET("/ready", f.ready)
 	return f
@@ -56,7 +61,7 @@
 }
 
 func (f *Front) query(c *gin.Context) {
-	id := rand.Text()
+	id := crand.Text()
 	req, err := codec.DecodeJSON[wire.QueryRequest](c.Request.Body, f.tier.BodyLimit())
 	if err != nil {
 		refuse(c, id, err)
@@ -75,20 +80,72 @@
 	c.JSON(http.StatusOK, toWire(id, a))
 }
 
+func (f *Front) permit(c *gin.Context) {
+	p, err := f.tier.Permit(c.Request.Context())
+	if err != nil {
+		refuse(c, "", err)
+		return
+	}
+	c.JSON(http.StatusOK, codec.ToWirePermit(p))
+}
+
+func (f *Front) order(c *gin.Context) {
+	id := crand.Text()
+	req, err := codec.DecodeJSON[wire.OrderRequest](c.Request.Body, f.tier.BodyLimit())
+	if err != nil {
+		refuse(c, id, err)
+		return
+	}
+	o, err := orderFromWire(id, req)
+	if err != nil {
+		refuse(c, id, err)
+		return
+	}
+	// The order goes on when its caller leaves: the outcome is kept for the next try.
+	out, err := f.tier.Order(context.WithoutCancel(c.Request.Context()), o)
+	if err != nil {
+		refuse(c, id, err)
+		return
+	}
+	c.JSON(http.StatusOK, codec.ToWireOutcome(id, out.Code, out.Receipt))
+}
+
+func orderFromWire(id string, req wire.OrderRequest) (entry.Order, error) {
+	o := entry.Order{
+		ID: id, Route: req.Route, Operation: req.Operation, Key: req.Key, Quantity: req.Quantity,
+		Permit: codec.FromWirePermit(req.Permit),
+	}
+	if !o.Permit.Issuer.IsValid() || o.Permit.Token == "" {
+		return o, result.Field(result.PermitRequired, "permit", "", "a permit from POST /v1/permits")
+	}
+	if o.Operation == "" {
+		return o, result.Field(result.MissingField, "operation", "", "the name of an operation")
+	}
+	d, err := deadline(req.Deadline)
+	o.Deadline = d
+	return o, err
+}
+
+// deadline reads a caller's deadline; 0 stands for the route's.
+func deadline(value string) (time.Duration, error) {
+	if value == "" {
+		return 0, nil
+	}
+	d, err := codec.ParseDuration("deadline", value, time.Millisecond, codec.MaxDeadline)
+	if err != nil {
+		return 0, result.Field(result.DeadlineOutOfRange, "deadline", value, "1ms to "+codec.MaxDeadline.String())
+	}
+	return d, nil
+}
+
 func fromWire(id string, req wire.QueryRequest) (entry.Query, error) {
 	q := entry.Query{
 		ID: id, Route: req.Route, Groups: req.Groups, Class: req.Class,
 		Filter: codec.FromWireFilter(req.Filter), Limit: req.Limit,
 	}
-	if req.Deadline == "" {
-		return q, nil
-	}
-	d, err := codec.ParseDuration("deadline", req.Deadline, time.Millisecond, codec.MaxDeadline)
-	if err != nil {
-		return q, result.Field(result.DeadlineOutOfRange, "deadline", req.Deadline, "1ms to "+codec.MaxDeadline.String())
-	}
+	d, err := deadline(req.Deadline)
 	q.Deadline = d
-	return q, nil
+	return q, err
 }
 
 func toWire(id string, a gather.Answer) wire.QueryAnswer {
@@ -105,16 +162,14 @@
 	return out
 }
 
-// refuse writes a coded refusal; an error without a code is internal.
+// refuse writes a coded refusal.
 func refuse(c *gin.Context, id string, err error) {
-	var fault *result.Error
-	if !errors.As(err, &fault) {
-		fault = result.New(result.Internal, "the request failed inside the tier")
-	}
-	c.JSON(status(fault.Code), wire.Refusal{
-		RequestID: id, Code: int(fault.Code), Result: fault.Code.String(), Effect: fault.Code.Effect().String(),
-		Path: fault.Path, Value: fault.Value, Allowed: fault.Allowed, Detail: fault.Detail,
-	})
+	fault := codec.Fault(err)
+	if fault.Code == result.Overloaded {
+		// Spread, so that refused callers do not come back together.
+		c.Header("Retry-After", strconv.Itoa(1+rand.IntN(2)))
+	}
+	c.JSON(status(fault.Code), codec.ToWireRefusal(id, fault))
 }
 
 func status(code result.Code) int {
--- /dev/null
+++ b/entry/vm/canary.go
@@ -0,0 +1,167 @@
+package vm
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"pistachioshore.dev/codec"
+	"pistachioshore.dev/quarantine"
+	"pistachioshore.dev/result"
+	"pistachioshore.dev/wire"
+)
+
+// Bounds of the exchange with the coordinator VM of a fingerprint.
+const (
+	coordinatorTime = 50 * time.Millisecond // an answer takes one round trip between zones
+	coordinators    = 2                     // VMs asked in turn before this VM decides alone
+)
+
+// canaryReply is a coordinator's answer.
+type canaryReply struct {
+	answer quarantine.Answer
+}
+
+// mayRun asks whether a fingerprint may run; canary means that one shard has to run it first.
+func (vm *VM) mayRun(ctx context.Context, fingerprint uint64, deadline time.Time) (canary bool, err error) {
+	for {
+		a, ok := vm.quarantine.Cached(vm.now(), fingerprint)
+		if !ok {
+			a = vm.askCoordinator(ctx, fingerprint, deadline)
+		}
+		switch a.Verdict {
+		case quarantine.Good:
+			return false, nil
+		case quarantine.Canary:
+			return true, nil
+		case quarantine.Refused:
+			return false, result.New(result.Quarantined, "requests like this one have crashed upstreams; refused until "+a.Until.UTC().Format(time.RFC3339))
+		}
+		if !vm.waitForVerdict(ctx, a.Until, deadline) {
+			return false, result.New(result.DeadlineExpired, "the deadline passed while the request waited for its canary")
+		}
+	}
+}
+
+// waitForVerdict waits until a coordinator should be asked again; false means that time is over.
+func (vm *VM) waitForVerdict(ctx context.Context, until, deadline time.Time) bool {
+	now := vm.now()
+	if !until.Before(deadline) || ctx.Err() != nil {
+		return false
+	}
+	const least = time.Millisecond // keeps a verdict that is due from becoming a busy loop
+	t := time.NewTimer(max(until.Sub(now), least))
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// askCoordinator asks the coordinator VM, then its successor; without either this VM decides alone.
+func (vm *VM) askCoordinator(ctx context.Context, fingerprint uint64, deadline time.Time) quarantine.Answer {
+	for i, c := range vm.fleet.Rank(fingerprint) {
+		if i >= coordinators || c == vm.settings.Address {
+			break
+		}
+		if a, ok := vm.askVM(ctx, c, fingerprint, deadline); ok {
+			vm.quarantine.Learn(vm.now(), fingerprint, a)
+			return a
+		}
+	}
+	return vm.quarantine.Ask(vm.now(), fingerprint, deadline)
+}
+
+func (vm *VM) askVM(ctx context.Context, c netip.AddrPort, fingerprint uint64, deadline time.Time) (quarantine.Answer, bool) {
+	id := vm.nextID.Add(1)
+	reply := vm.asked.expect(id)
+	defer vm.asked.forget(id)
+	m := &wire.Envelope{
+		Kind:          codec.KindCanaryRequest,
+		CanaryRequest: &wire.CanaryRequest{ID: id, Fingerprint: fingerprint, Deadline: deadline},
+	}
+	if !vm.to.Peers.Send(c, m) {
+		return quarantine.Answer{}, false
+	}
+	t := time.NewTimer(coordinatorTime)
+	defer t.Stop()
+	select {
+	case r := <-reply:
+		return r.answer, true
+	case <-t.C:
+		return quarantine.Answer{}, false
+	case <-ctx.Done():
+		return quarantine.Answer{Verdict: quarantine.Wait, Until: deadline}, true
+	}
+}
+
+// receiveCanaryRequest answers as the coordinator of a fingerprint.
+func (vm *VM) receiveCanaryRequest(from netip.AddrPort, m *wire.CanaryRequest) {
+	a := vm.quarantine.Ask(vm.now(), m.Fingerprint, m.Deadline)
+	vm.to.Peers.Send(from, verdictMessage(m.ID, m.Fingerprint, a))
+}
+
+func (vm *VM) receiveCanaryVerdict(m *wire.CanaryVerdict) {
+	a := quarantine.Answer{Verdict: verdictOf(m.Verdict), Until: m.Until}
+	if m.ID == 0 {
+		vm.quarantine.Learn(vm.now(), m.Fingerprint, a)
+		return
+	}
+	vm.asked.deliver(m.ID, canaryReply{a})
+}
+
+// reportRun tells the coordinator of a fingerprint how a run of it ended.
+func (vm *VM) reportRun(fingerprint uint64, r quarantine.Report, upstreamName string) {
+	order := vm.fleet.Rank(fingerprint)
+	if len(order) == 0 || order[0] == vm.settings.Address {
+		vm.takeReport(fingerprint, r, upstreamName)
+		return
+	}
+	if r == quarantine.Succeeded {
+		vm.quarantine.Learn(vm.now(), fingerprint, quarantine.Answer{Verdict: quarantine.Good, Until: vm.now().Add(quarantine.Defaults().Good)})
+	}
+	vm.sendAgain(order[0], &wire.Envelope{
+		Kind: codec.KindCanaryReport,
+		CanaryReport: &wire.CanaryReport{
+			Fingerprint: fingerprint, Outcome: r.String(), Upstream: upstreamName, Until: vm.now(),
+		},
+	}, resends)
+}
+
+// takeReport updates the coordinator's state and tells all VMs of a refusal.
+func (vm *VM) takeReport(fingerprint uint64, r quarantine.Report, upstreamName string) {
+	a := vm.quarantine.Report(vm.now(), fingerprint, r, upstreamName)
+	if r != quarantine.Crashed {
+		return
+	}
+	vm.broadcast(verdictMessage(0, fingerprint, a))
+}
+
+func verdictMessage(id, fingerprint uint64, a quarantine.Answer) *wire.Envelope {
+	return &wire.Envelope{
+		Kind:          codec.KindCanaryVerdict,
+		CanaryVerdict: &wire.CanaryVerdict{ID: id, Fingerprint: fingerprint, Verdict: a.Verdict.String(), Until: a.Until},
+	}
+}
+
+// verdictOf returns the verdict of a name; an unknown name waits, which harms nothing.
+func verdictOf(name string) quarantine.Verdict {
+	for v := quarantine.Good; v <= quarantine.Refused; v++ {
+		if v.String() == name {
+			return v
+		}
+	}
+	return quarantine.Wait
+}
+
+// reportOf returns the report of a name; an unknown name counts as not run.
+func reportOf(name string) quarantine.Report {
+	for r := quarantine.Succeeded; r <= quarantine.NotRun; r++ {
+		if r.String() == name {
+			return r
+		}
+	}
+	return quarantine.NotRun
+}
--- a/entry/vm/config.go
+++ b/entry/vm/config.go
@@ -1,17 +1,25 @@
 package vm
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/go-kit/log/level"
 
+	"pistachioshore.dev/catalog"
 	"pistachioshore.dev/codec"
+	"pistachioshore.dev/fleet"
+	"pistachioshore.dev/wire"
 )
 
-// Times of the reads from the configuration service.
+// Times of the reads from the platform.
 const (
-	watchTime  = 10 * time.Second // longest time that one watch waits
-	retryDelay = 500 * time.Millisecond
+	watchTime   = 10 * time.Second       // longest time that one watch waits
+	pollTime    = 30 * time.Second       // between reads of a VM that does not watch
+	retryDelay  = 500 * time.Millisecond // after a failed read
+	vmListTime  = time.Second            // between reads of the list of VMs
+	drainGrace  = 2 * time.Second        // a drained VM serves on while the load balancer learns that it is not ready
+	peerAskTime = 1500 * time.Millisecond
 )
 
 // watchConfig keeps reading the published configuration until the VM stops.
@@ -19,36 +27,136 @@
 	tag := ""
 	for vm.ctx.Err() == nil {
 		wait := watchTime
-		if tag == "" {
+		if tag == "" || !vm.fleet.Watches() {
 			wait = 0
 		}
-		published, err := vm.platform.Config(vm.ctx, tag, wait)
+		published, err := vm.to.Platform.Config(vm.ctx, tag, wait)
 		if err != nil {
-			if !vm.pause(retryDelay) {
-				return
-			}
+			vm.observe.Counters.PlatformFailure()
+			vm.wait(retryDelay)
 			continue
 		}
 		tag = published.Tag
 		if published.Changed {
 			vm.acceptConfig(published.Value)
 		}
+		if !vm.fleet.Watches() {
+			vm.waitForWatch(pollTime)
+		}
+	}
+}
+
+// waitForWatch waits for the next poll, or until this VM has become a watcher.
+func (vm *VM) waitForWatch(d time.Duration) {
+	until := vm.now().Add(d)
+	for vm.now().Before(until) && !vm.fleet.Watches() {
+		if !vm.wait(retryDelay) {
+			return
+		}
 	}
 }
 
+// readVMs keeps reading the platform's list of VMs until the VM stops.
+func (vm *VM) readVMs() {
+	for vm.ctx.Err() == nil {
+		list, err := vm.to.Platform.VMs(vm.ctx)
+		if err != nil {
+			vm.observe.Counters.PlatformFailure()
+		} else {
+			vm.takeList(list)
+		}
+		if !vm.wait(vmListTime) {
+			return
+		}
+	}
+}
+
+func (vm *VM) takeList(list wire.VMList) {
+	listed := make([]fleet.Listed, 0, len(list.Vms))
+	peers := make([]netip.AddrPort, 0, len(list.Vms))
+	for _, v := range list.Vms {
+		listed = append(listed, fleet.Listed{Address: v.Address, Zone: v.Zone, Leaving: v.State == "leaving"})
+		if v.Address != vm.settings.Address {
+			peers = append(peers, v.Address)
+		}
+	}
+	vm.fleet.List(vm.now(), listed)
+	vm.contacts.listed(peers)
+}
+
 // acceptConfig checks a published configuration and puts it in force if it is the highest.
 func (vm *VM) acceptConfig(value []byte) {
 	cfg, faults := codec.ParseConfig(value)
 	if len(faults) > 0 {
-		_ = level.Warn(vm.log).Log("msg", "configuration refused", "fault", faults[0], "faults", len(faults))
+		vm.observe.Counters.ConfigRefused(faults[0].Code)
+		_ = level.Warn(vm.observe.Log).Log("msg", "configuration refused", "fault", faults[0], "faults", len(faults))
 		return
 	}
-	changed, err := vm.catalog.Accept(cfg, value, time.Now())
+	changed, err := vm.catalog.Accept(cfg, value, vm.now())
 	if err != nil {
-		_ = level.Warn(vm.log).Log("msg", "configuration refused", "revision", cfg.Revision, "fault", err)
+		vm.observe.Counters.ConfigRefused(codeOf(err))
+		return
+	}
+	if !changed {
 		return
 	}
-	if changed {
-		_ = level.Info(vm.log).Log("msg", "configuration in force", "revision", cfg.Revision)
+	vm.applyConfig()
+	_ = level.Info(vm.observe.Log).Log("msg", "configuration in force", "revision", cfg.Revision)
+}
+
+// applyConfig passes the configuration in force to the tables. Workers may apply two versions at
+// once, so each reads the newest again until it has applied that one.
+func (vm *VM) applyConfig() {
+	vm.contacts.applying.Lock()
+	defer vm.contacts.applying.Unlock()
+	cfg := vm.catalog.InForce()
+	now := vm.now()
+	vm.admission.SetLimit(cfg.Limits.InFlight)
+	vm.routes.apply(cfg)
+	vm.fleet.SetOut(now, cfg.OutVMs)
+	vm.fleet.SetUpstreams(now, upstreamsOf(cfg))
+	vm.follow(vm.owned.Configure(now, cfg, vm.vmsInZone()))
+	vm.contacts.setDrained(now, cfg.ZoneOut(vm.settings.Zone) || cfg.VMOut(vm.settings.Address))
+}
+
+func upstreamsOf(cfg *catalog.Config) []fleet.Upstream {
+	var ups []fleet.Upstream
+	for _, g := range cfg.Groups {
+		for _, s := range g.Services {
+			for _, srv := range s.Servers {
+				ups = append(ups, fleet.Upstream{Name: srv.Name, Zone: srv.Zone})
+			}
+		}
+	}
+	return ups
+}
+
+// vmsInZone counts the VMs that may own an upstream of this zone, this one included.
+func (vm *VM) vmsInZone() int {
+	n := 1
+	for _, p := range vm.fleet.Peers(vm.now()) {
+		if p.Zone == vm.settings.Zone && p.Address != vm.settings.Address {
+			n++
+		}
+	}
+	return n
+}
+
+// askForConfig asks a VM for its configuration if it is higher than the one in force here.
+func (vm *VM) askForConfig(peer netip.AddrPort, revision, digest uint64) {
+	cfg := vm.catalog.InForce()
+	if revision == 0 || (cfg != nil && (revision < cfg.Revision || (revision == cfg.Revision && digest <= cfg.Digest))) {
+		return
+	}
+	m := &wire.ConfigRequest{}
+	if cfg != nil {
+		m.Revision, m.Digest = cfg.Revision, cfg.Digest
+	}
+	vm.to.Peers.Send(peer, &wire.Envelope{Kind: codec.KindConfigRequest, ConfigRequest: m})
+}
+
+func (vm *VM) receiveConfigRequest(from netip.AddrPort) {
+	if raw := vm.catalog.Raw(); raw != nil {
+		vm.to.Peers.Send(from, &wire.Envelope{Kind: codec.KindConfigValue, ConfigValue: &wire.ConfigValue{Value: raw}})
 	}
 }
--- a/entry/vm/query.go
+++ b/entry/vm/query.go
@@ -2,92 +2,134 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
+	"pistachioshore.dev/balancer"
 	"pistachioshore.dev/catalog"
+	"pistachioshore.dev/codec"
 	"pistachioshore.dev/entry"
 	"pistachioshore.dev/gather"
+	"pistachioshore.dev/quarantine"
 	"pistachioshore.dev/result"
-	"pistachioshore.dev/transport"
+	"pistachioshore.dev/upstream"
 )
 
-// hopMargin is kept from the deadline for the way back to the caller.
+// hopMargin is kept from a deadline for the way back over one hop.
 const hopMargin = 2 * time.Millisecond
 
-// activeQuery is one query under way with what its sub-requests need.
-type activeQuery struct {
-	vm     *VM
-	query  entry.Query
-	cfg    *catalog.Config
-	plan   gather.Plan
-	state  *gather.Query
-	once   sync.Once
-	done   chan struct{}
-	cancel context.CancelFunc
-	ctx    context.Context
-}
-
-// Query answers a look-up from one snapshot.
+// Query answers a look-up from one snapshot. It starts over at most once, on a newer snapshot.
 func (vm *VM) Query(ctx context.Context, q entry.Query) (gather.Answer, error) {
-	now := time.Now()
-	cfg := vm.catalog.InForce()
-	if cfg == nil {
-		return gather.Answer{}, result.New(result.NotReady, "no configuration is in force yet")
+	now := vm.now()
+	cfg, err := vm.accepting(now)
+	if err != nil {
+		return gather.Answer{}, vm.refused(err)
 	}
-	plan, err := makePlan(cfg, q, now)
+	r, err := resolve(cfg, q)
 	if err != nil {
-		return gather.Answer{}, err
+		return gather.Answer{}, vm.refused(err)
 	}
-	a := &activeQuery{vm: vm, query: q, cfg: cfg, plan: plan, done: make(chan struct{})}
-	a.state = gather.New(plan, firstReplica{}, noBudget{}, newRand())
-	a.ctx, a.cancel = context.WithDeadline(ctx, plan.Deadline)
-	defer a.cancel()
-	a.follow(a.state.Start(now))
-	select {
-	case <-a.done:
-	case <-ctx.Done():
-		return gather.Answer{}, result.New(result.Late, "the caller has left")
+	if !vm.admission.Admit(r.class) {
+		return gather.Answer{}, vm.refused(result.New(result.Overloaded, "too many requests of this class are under way"))
+	}
+	defer vm.admission.Done(r.class)
+	ctx, span := vm.startQuerySpan(ctx, q)
+	defer span.End()
+	deadline := now.Add(r.deadline - hopMargin)
+	a, restart, err := vm.gather(ctx, q, cfg, r, deadline)
+	if newer := vm.catalog.InForce(); err == nil && restart && newer.Current != cfg.Current {
+		if again, err := resolve(newer, q); err == nil {
+			a, _, err = vm.gather(ctx, q, newer, again, deadline)
+			return a, vm.answered(a, err)
+		}
 	}
-	return a.state.Answer(), nil
+	return a, vm.answered(a, err)
 }
 
-func makePlan(cfg *catalog.Config, q entry.Query, now time.Time) (gather.Plan, error) {
+// accepting returns the configuration in force if the VM takes new requests.
+func (vm *VM) accepting(now time.Time) (*catalog.Config, error) {
+	cfg := vm.catalog.InForce()
+	switch {
+	case cfg == nil:
+		return nil, result.New(result.NotReady, "no configuration is in force yet")
+	case !vm.accepts():
+		return nil, result.New(result.Stopping, "the VM is stopping")
+	case vm.contacts.drainedFor(now) > drainGrace:
+		return nil, result.New(result.ZoneOut, "operators have taken this VM out of service")
+	}
+	return cfg, nil
+}
+
+// resolved is a query with everything that its route decides.
+type resolved struct {
+	route    *catalog.Route
+	class    catalog.Class
+	groups   []string
+	deadline time.Duration
+	limit    int
+}
+
+func resolve(cfg *catalog.Config, q entry.Query) (resolved, error) {
 	route, ok := cfg.Route(q.Route)
 	if !ok || !route.Idempotent {
-		return gather.Plan{}, result.Field(result.UnknownRoute, "route", q.Route, "an idempotent route of the configuration")
+		return resolved{}, result.Field(result.UnknownRoute, "route", q.Route, "an idempotent route of the configuration")
+	}
+	r := resolved{route: route, class: route.Class, groups: route.Groups, deadline: route.Deadline, limit: cfg.Limits.AnswerRecords}
+	if q.Class != "" {
+		class, ok := catalog.ParseClass(q.Class)
+		if !ok || class < route.Class {
+			return r, result.Field(result.OutOfRange, "class", q.Class, "the route's class or a less urgent one")
+		}
+		r.class = class
 	}
-	groups := route.Groups
 	if len(q.Groups) > 0 {
-		groups = q.Groups
+		r.groups = q.Groups
 	}
-	for _, g := range groups {
+	for _, g := range r.groups {
 		if !slices.Contains(route.Groups, g) {
-			return gather.Plan{}, result.Field(result.UnknownGroup, "groups", g, "the groups of the route")
+			return r, result.Field(result.UnknownGroup, "groups", g, "the groups of the route")
 		}
 	}
-	shards, ok := cfg.Shards(cfg.Current, groups)
-	if !ok {
-		return gather.Plan{}, result.New(result.Internal, "the current snapshot has no shard map")
-	}
-	deadline := route.Deadline
 	if q.Deadline > 0 {
-		deadline = min(deadline, q.Deadline)
+		r.deadline = min(r.deadline, q.Deadline)
+	}
+	if q.Limit < 0 {
+		return r, result.Field(result.OutOfRange, "limit", "negative", "0 or more")
 	}
-	limit := cfg.Limits.AnswerRecords
 	if q.Limit > 0 {
-		limit = min(limit, q.Limit)
+		r.limit = min(r.limit, q.Limit)
+	}
+	return r, nil
+}
+
+// gather runs a query on the snapshot that cfg pins; restart says that a newer one is worth a try.
+func (vm *VM) gather(ctx context.Context, q entry.Query, cfg *catalog.Config, r resolved, deadline time.Time) (gather.Answer, bool, error) {
+	shards, ok := cfg.Shards(cfg.Current, r.groups)
+	if !ok {
+		return gather.Answer{}, false, result.New(result.Internal, "the current snapshot has no shard map")
+	}
+	a := &activeQuery{vm: vm, query: q, cfg: cfg, route: r, done: make(chan struct{}), trace: traceOf(ctx)}
+	a.fingerprint = fingerprintOf(q, r)
+	canary, err := vm.mayRun(ctx, a.fingerprint, deadline)
+	if err != nil {
+		return gather.Answer{}, false, err
 	}
-	plan := gather.Plan{
-		Snapshot: cfg.Current, Revision: cfg.Revision, Limit: limit,
-		Deadline: now.Add(deadline - hopMargin), MinimumCoverage: route.MinimumCoverage, StragglerWait: route.StragglerWait,
+	a.plan = gather.Plan{
+		Snapshot: cfg.Current, Revision: cfg.Revision, Limit: r.limit, Deadline: deadline,
+		MinimumCoverage: r.route.MinimumCoverage, StragglerWait: r.route.StragglerWait, Canary: canary,
 	}
 	for _, s := range shards {
-		plan.Shards = append(plan.Shards, shardPlan(cfg, s))
+		a.plan.Shards = append(a.plan.Shards, shardPlan(cfg, s))
+		a.ids = append(a.ids, vm.nextID.Add(1))
 	}
-	return plan, nil
+	a.state = gather.New(a.plan, vm.chooser, vm.routes.of(r.route), newRand())
+	return a.run(ctx)
+}
+
+func fingerprintOf(q entry.Query, r resolved) uint64 {
+	f := q.Filter
+	return quarantine.Fingerprint("search", r.groups, []string{string(f.Kind), f.KeyFrom, f.KeyTo, f.Contains}, r.limit)
 }
 
 // shardPlan lists the replicas of a shard that may receive new work.
@@ -110,56 +152,164 @@
 	return p
 }
 
+// activeQuery is one query under way with what its sub-requests need.
+type activeQuery struct {
+	vm          *VM
+	query       entry.Query
+	cfg         *catalog.Config
+	route       resolved
+	plan        gather.Plan
+	state       *gather.Query
+	ids         []uint64 // sub-request number of each shard
+	fingerprint uint64
+	trace       string
+
+	once    sync.Once
+	restart bool
+	done    chan struct{}
+}
+
+func (a *activeQuery) run(ctx context.Context) (gather.Answer, bool, error) {
+	a.follow(a.state.Start(a.vm.now()))
+	select {
+	case <-a.done:
+	case <-ctx.Done():
+		a.abandon()
+		return gather.Answer{}, false, result.New(result.Late, "the caller has left")
+	}
+	for range a.state.StaleParts() {
+		a.vm.observe.Counters.StalePart()
+	}
+	return a.state.Answer(), a.restart, nil
+}
+
+// abandon withdraws every attempt of a query that nobody waits for.
+func (a *activeQuery) abandon() {
+	var keys []attemptKey
+	for _, id := range a.ids {
+		for n := 1; n <= gather.MaxAttempts; n++ {
+			keys = append(keys, attemptKey{id, n})
+		}
+	}
+	a.vm.withdraw(keys)
+}
+
 // follow does what a step of the query asks for.
 func (a *activeQuery) follow(st gather.Step) {
-	for _, at := range st.Send {
-		a.vm.pool.Submit(func() { a.run(at) })
+	if st.CanaryOK {
+		a.vm.reportRun(a.fingerprint, quarantine.Succeeded, "")
+	}
+	if st.AskAgain {
+		a.vm.requests.Submit(a.askAgain)
+	}
+	if len(st.Cancel) > 0 {
+		keys := make([]attemptKey, 0, len(st.Cancel))
+		for _, at := range st.Cancel {
+			keys = append(keys, attemptKey{a.ids[at.Shard], at.Number})
+		}
+		a.vm.withdraw(keys)
 	}
+	a.send(st.Send)
 	if !st.WakeAt.IsZero() {
-		a.vm.timers.At(st.WakeAt, func() { a.follow(a.state.Wake(time.Now())) })
+		a.vm.timers.At(st.WakeAt, func() { a.follow(a.state.Wake(a.vm.now())) })
 	}
 	if st.Done {
-		a.once.Do(func() { close(a.done) })
+		a.once.Do(func() {
+			a.restart = st.Restart
+			close(a.done)
+		})
 	}
 }
 
-func (a *activeQuery) run(at gather.Attempt) {
-	reply := a.call(at)
-	a.follow(a.state.Part(time.Now(), gather.Part{
-		Shard: at.Shard, Number: at.Number, Code: reply.Code,
-		Snapshot: reply.Snapshot, Records: reply.Records, Matched: reply.Matched,
-	}))
+// askAgain asks the coordinator whether the query may go on after a lost or late canary request.
+func (a *activeQuery) askAgain() {
+	var refused result.Code
+	canary, err := a.vm.mayRun(a.vm.ctx, a.fingerprint, a.plan.Deadline)
+	if err != nil {
+		refused = codeOf(err)
+	}
+	a.follow(a.state.Resume(a.vm.now(), canary, refused))
 }
 
-func (a *activeQuery) call(at gather.Attempt) transport.Reply {
-	server, ok := a.cfg.Server(at.Server)
-	if !ok {
-		return transport.Reply{Code: result.Unreachable}
+func (a *activeQuery) send(list []gather.Attempt) {
+	if len(list) == 0 {
+		return
 	}
-	conn, err := a.vm.upstreams.Connect(a.ctx, server.Address)
-	if err != nil {
-		return transport.Reply{Code: result.Unreachable}
+	items := make([]subRequest, 0, len(list))
+	for _, at := range list {
+		a.vm.observe.Counters.SubRequest()
+		switch {
+		case at.Hedge:
+			a.vm.observe.Counters.Hedge()
+		case at.Number > 1:
+			a.vm.observe.Counters.Retry()
+		}
+		items = append(items, a.subRequest(at))
 	}
-	defer func() { _ = conn.Close() }()
-	return conn.Do(a.ctx, transport.Call{
-		RequestID: a.query.ID + "/" + a.plan.Shards[at.Shard].Shard.Name, Attempt: at.Number, Deadline: a.plan.Deadline,
-		Snapshot: a.plan.Snapshot, Shard: a.plan.Shards[at.Shard].Shard.Name, Filter: a.query.Filter, Limit: a.plan.Limit,
-	})
+	a.vm.dispatch(items)
 }
 
-// firstReplica always takes the first candidate and never hedges.
-type firstReplica struct{}
+func (a *activeQuery) subRequest(at gather.Attempt) subRequest {
+	shard := a.plan.Shards[at.Shard].Shard
+	sent := a.vm.now()
+	return subRequest{
+		upstream: at.Server,
+		hedge:    at.Hedge,
+		job: upstream.Job[work]{
+			Key:   upstream.Key{Origin: a.vm.settings.Address, ID: a.ids[at.Shard], Attempt: at.Number},
+			Class: a.route.class, Deadline: a.plan.Deadline.Add(-hopMargin), Fingerprint: a.fingerprint, Idempotent: true,
+			Payload: work{
+				requestID: subRequestID(a.query.ID, shard.Name), shard: shard.Name, snapshot: a.plan.Snapshot,
+				filter: a.query.Filter, limit: a.plan.Limit, trace: a.trace,
+			},
+		},
+		deliver: func(p part) { a.take(at, shard.Group, sent, p) },
+	}
+}
 
-func (firstReplica) Choose(_ time.Time, _ *rand.Rand, candidates []string) string {
-	return candidates[0]
+// take passes a part to the query and its timing to the replica choice.
+func (a *activeQuery) take(at gather.Attempt, group string, sent time.Time, p part) {
+	now := a.vm.now()
+	a.vm.chooser.Observe(now, group, at.Server, observation(now.Sub(sent), p))
+	a.follow(a.state.Part(now, gather.Part{
+		Shard: at.Shard, Number: at.Number, Code: p.code, Snapshot: p.snapshot, Records: p.records, Matched: p.matched,
+	}))
 }
-func (firstReplica) HedgeDelay(string) time.Duration { return time.Hour }
-func (firstReplica) Typical(string) time.Duration    { return time.Millisecond }
-func (firstReplica) Queued(string) bool              { return false }
 
-// noBudget grants nothing beyond the first attempts.
-type noBudget struct{}
+// observation tells the replica choice how an attempt ended. What an owner VM refuses says nothing
+// about the upstream, so it counts as shed.
+func observation(elapsed time.Duration, p part) balancer.Observation {
+	o := balancer.Observation{Elapsed: elapsed, Queued: p.queued, Cancelled: p.code == result.Cancelled}
+	switch p.code {
+	case result.Complete, result.Executed, result.SnapshotGone:
+		o.OK = true
+	case result.Unreachable, result.ConnectionLost, result.UpstreamFailed, result.Late, result.Cancelled:
+	default:
+		o.Shed = true
+	}
+	return o
+}
 
-func (noBudget) Earn(int)         {}
-func (noBudget) AllowHedge() bool { return false }
-func (noBudget) AllowRetry() bool { return true }
+// subRequestID names a sub-request towards upstreams: the caller's request and the shard.
+func subRequestID(request, shard string) string {
+	return request + "/" + shard
+}
+
+// refused counts a refusal and returns it.
+func (vm *VM) refused(err error) error {
+	vm.observe.Counters.Refusal(codeOf(err))
+	return err
+}
+
+// answered counts how a query has ended.
+func (vm *VM) answered(a gather.Answer, err error) error {
+	if err != nil {
+		return vm.refused(err)
+	}
+	vm.observe.Counters.Answer(a.Code)
+	return nil
+}
+
+func codeOf(err error) result.Code {
+	return codec.Fault(err).Code
+}
--- a/entry/vm/vm.go
+++ b/entry/vm/vm.go
@@ -1,4 +1,4 @@
-// Package vm assembles one entry VM from its tables, its pool of workers and its transports.
+// Package vm assembles one entry VM from its tables, its pools of workers and its transports.
 package vm
 
 import (
@@ -6,32 +6,90 @@
 	"math/rand/v2"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
+	"go.opentelemetry.io/otel/trace"
 
+	"pistachioshore.dev/balancer"
+	"pistachioshore.dev/budget"
 	"pistachioshore.dev/catalog"
 	"pistachioshore.dev/entry"
+	"pistachioshore.dev/fleet"
+	"pistachioshore.dev/permit"
 	"pistachioshore.dev/pool"
+	"pistachioshore.dev/quarantine"
+	"pistachioshore.dev/shutdown"
+	"pistachioshore.dev/telemetry"
 	"pistachioshore.dev/transport"
+	"pistachioshore.dev/upstream"
+)
+
+// Workers of the pools that do not wait for upstreams.
+const (
+	eventWorkers   = 8  // handle messages, timers and steps, and never block
+	requestWorkers = 64 // bound the orders that other VMs have passed on
 )
 
 // Settings are what a VM learns from its flags and environment.
 type Settings struct {
-	Address netip.AddrPort // where callers and other VMs reach this VM
-	Zone    string
-	Workers int // size of the pool, which bounds the calls under way at upstreams
+	Address     netip.AddrPort // where callers and other VMs reach this VM
+	Zone        string
+	Incarnation uint64 // differs each time that the process starts
+	Workers     int    // calls under way at upstreams
+	BalancerLag time.Duration
+}
+
+// Transports reach everything outside the VM.
+type Transports struct {
+	Platform  transport.Platform
+	Upstreams transport.Upstream
+	Canceller transport.Canceller
+	Peers     transport.Peer
+}
+
+// Policies are the choices that an experiment may replace.
+type Policies struct {
+	Chooser *balancer.Chooser
+}
+
+// Observers take what the VM reports about itself.
+type Observers struct {
+	Log      log.Logger
+	Counters *telemetry.Counters
+	Tracer   trace.Tracer
 }
 
 // VM is one entry VM.
 type VM struct {
-	settings  Settings
-	log       log.Logger
-	platform  transport.Platform
-	upstreams transport.Upstream
-	catalog   *catalog.Store
-	pool      *pool.Pool[func()]
-	timers    *pool.Timers[func()]
+	settings Settings
+	to       Transports
+	observe  Observers
+	started  time.Time
+
+	catalog    *catalog.Store
+	fleet      *fleet.Table
+	owned      *upstream.Table[work]
+	quarantine *quarantine.Table
+	permits    *permit.Table
+	admission  *budget.Admission
+	chooser    *balancer.Chooser
+	stopping   *shutdown.Machine
+
+	attempts  *attempts            // attempts sent, by their key
+	forwarded *replies[orderReply] // orders passed to the issuers of their permits
+	asked     *replies[canaryReply]
+	conns     *connections
+	handovers *handovers
+	routes    *routeBudgets
+	contacts  *contacts
+
+	nextID   atomic.Uint64
+	calls    *pool.Pool[func()]
+	events   *pool.Pool[func()]
+	requests *pool.Pool[func()]
+	timers   *pool.Timers[func()]
 
 	ctx    context.Context // ends the background reads
 	cancel context.CancelFunc
@@ -41,30 +99,52 @@
 var _ entry.Tier = (*VM)(nil)
 
 // New returns a VM that is not started yet.
-func New(s Settings, l log.Logger, p transport.Platform, u transport.Upstream) *VM {
-	vm := &VM{settings: s, log: l, platform: p, upstreams: u, catalog: catalog.NewStore()}
+func New(s Settings, to Transports, o Observers, p Policies) *VM {
+	now := time.Now()
+	self := fleet.Self{Address: s.Address, Zone: s.Zone, Incarnation: s.Incarnation}
+	vm := &VM{
+		settings: s, to: to, observe: o, started: now,
+		catalog:    catalog.NewStore(),
+		fleet:      fleet.New(self, fleet.DefaultSettings(), now),
+		owned:      upstream.New[work](upstream.DefaultSettings()),
+		quarantine: quarantine.New(quarantine.Defaults()),
+		permits:    permit.New(s.Address, s.Incarnation, permit.Defaults()),
+		admission:  budget.NewAdmission(1),
+		chooser:    p.Chooser,
+		stopping:   shutdown.New(shutdown.Settings{BalancerLag: s.BalancerLag}),
+		attempts:   newAttempts(),
+		forwarded:  newReplies[orderReply](),
+		asked:      newReplies[canaryReply](),
+		conns:      newConnections(),
+		handovers:  newHandovers(),
+		routes:     newRouteBudgets(),
+		contacts:   newContacts(),
+	}
 	vm.ctx, vm.cancel = context.WithCancel(context.Background())
 	return vm
 }
 
-// Start starts the workers and the reads from the platform.
+// Start starts the workers, the ticks and the reads from the platform.
 func (vm *VM) Start() {
-	vm.pool = pool.New(vm.settings.Workers, func(task func()) { task() })
-	vm.timers = pool.NewTimers[func()](vm.pool)
+	run := func(task func()) { task() }
+	vm.calls = pool.New(vm.settings.Workers, run)
+	vm.events = pool.New(eventWorkers, run)
+	vm.requests = pool.New(requestWorkers, run)
+	vm.timers = pool.NewTimers[func()](vm.events)
+	vm.events.Submit(vm.tick)
 	vm.reads.Go(vm.watchConfig)
+	vm.reads.Go(vm.readVMs)
 }
 
-// Stop ends the reads, runs what is queued and waits for the workers.
-func (vm *VM) Stop() {
+// Close ends the reads, runs what is queued and waits for the workers.
+func (vm *VM) Close() {
 	vm.cancel()
 	vm.reads.Wait()
 	vm.timers.Stop()
-	vm.pool.Stop()
-}
-
-// Ready reports whether a configuration is in force.
-func (vm *VM) Ready() bool {
-	return vm.catalog.InForce() != nil
+	vm.requests.Stop()
+	vm.calls.Stop()
+	vm.events.Stop()
+	vm.conns.closeAll()
 }
 
 // BodyLimit returns the largest body in bytes that is read now.
@@ -79,8 +159,8 @@
 	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 }
 
-// pause waits for d or until the VM stops; it reports whether the VM goes on.
-func (vm *VM) pause(d time.Duration) bool {
+// wait waits for d or until the VM stops; it reports whether the VM goes on.
+func (vm *VM) wait(d time.Duration) bool {
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
--- a/gather/gather.go
+++ b/gather/gather.go
@@ -10,8 +10,8 @@
 	"pistachioshore.dev/result"
 )
 
-// maxAttempts bounds the attempts of one shard, the first and its hedge included.
-const maxAttempts = 4
+// MaxAttempts bounds the attempts of one shard, the first and its hedge included.
+const MaxAttempts = 4
 
 // Chooser picks the replica of a service that an attempt goes to.
 type Chooser interface {
@@ -75,6 +75,7 @@
 	Cancel   []Attempt
 	WakeAt   time.Time // zero if no wake-up is needed
 	CanaryOK bool      // the canary request has succeeded
+	AskAgain bool      // the canary request is lost or late; Resume tells whether the query may go on
 	Done     bool      // the answer is ready
 	Restart  bool      // the query is worth starting over on the newest snapshot
 }
--- a/gather/query.go
+++ b/gather/query.go
@@ -23,8 +23,9 @@
 	shards  []shard
 	open    int // shards without an outcome
 	covered int
-	stale   int // parts dropped for another snapshot
-	canary  int // index of the shard of the canary request, -1 when none is under way
+	stale   int  // parts dropped for another snapshot
+	asking  bool // a lost canary request waits for Resume
+	canary  int  // index of the shard of the canary request, -1 when none is under way
 	reached time.Time
 	done    bool
 }
@@ -35,6 +36,16 @@
 	failed   result.Code
 }
 
+// ended reports whether the shard has an outcome.
+func (sh *shard) ended() bool {
+	return sh.part != nil || sh.failed != 0
+}
+
+// pending reports whether an attempt of the shard is under way.
+func (sh *shard) pending() bool {
+	return slices.ContainsFunc(sh.attempts, func(a attempt) bool { return a.pending })
+}
+
 type attempt struct {
 	Attempt
 	sent    time.Time
@@ -58,6 +69,33 @@
 	return table.Read(q.state, func(s *state) Step { return s.take(now, p) })
 }
 
+// Resume goes on after a lost or late canary request: with another canary request, with the full fan-out
+// if the fingerprint has proved good meanwhile, or not at all if refused is a code.
+func (q *Query) Resume(now time.Time, canary bool, refused result.Code) Step {
+	return table.Read(q.state, func(s *state) Step {
+		if s.done || !s.asking {
+			return Step{}
+		}
+		var st Step
+		s.asking = false
+		late := s.canary >= 0 && s.shards[s.canary].pending()
+		switch {
+		case refused == result.Quarantined || (refused != 0 && !late):
+			s.failAll(refused)
+		case refused != 0: // the late canary request may still succeed
+		case canary && late:
+			s.send(now, s.canary, true, &st)
+		case canary:
+			s.startCanary(now, &st)
+		default:
+			s.canary = -1
+			s.sendOpen(now, &st)
+		}
+		s.settle(now, &st)
+		return st
+	})
+}
+
 // Wake sends hedges that are due and ends a query whose time is over.
 func (q *Query) Wake(now time.Time) Step {
 	return table.Read(q.state, func(s *state) Step {
@@ -97,21 +135,27 @@
 	return st
 }
 
+// startCanary runs the first open shard that has the fewest attempts alone.
 func (s *state) startCanary(now time.Time, st *Step) {
+	s.canary = -1
 	for i := range s.shards {
-		if s.shards[i].failed == 0 {
+		if s.shards[i].ended() {
+			continue
+		}
+		if s.canary < 0 || len(s.shards[i].attempts) < len(s.shards[s.canary].attempts) {
 			s.canary = i
-			s.send(now, i, false, st)
-			return
 		}
 	}
+	if s.canary >= 0 {
+		s.send(now, s.canary, false, st)
+	}
 }
 
-// sendOpen sends the first attempt of each shard that has none.
+// sendOpen sends an attempt for each shard that has neither an outcome nor a pending attempt.
 func (s *state) sendOpen(now time.Time, st *Step) {
 	n := 0
 	for i := range s.shards {
-		if s.shards[i].failed == 0 && len(s.shards[i].attempts) == 0 {
+		if !s.shards[i].ended() && !s.shards[i].pending() {
 			s.send(now, i, false, st)
 			n++
 		}
@@ -158,7 +202,7 @@
 		p.Code = result.SnapshotGone
 	}
 	switch {
-	case sh.part != nil || sh.failed != 0:
+	case sh.ended():
 		return st
 	case p.Code == result.Complete:
 		s.cover(now, p, &st)
@@ -192,21 +236,36 @@
 		s.send(now, p.Shard, false, st)
 		return
 	}
-	for _, a := range sh.attempts {
-		if a.pending {
-			return
-		}
+	if sh.pending() {
+		return
 	}
-	s.fail(p.Shard, p.Code)
 	if s.canary == p.Shard {
+		s.canaryFailed(now, p, st)
+		return
+	}
+	s.fail(p.Shard, p.Code)
+}
+
+// canaryFailed moves a canary request that was not run to another shard. After one that may have
+// run, the query waits for leave to go on.
+func (s *state) canaryFailed(now time.Time, p Part, st *Step) {
+	switch {
+	case p.Code == result.Quarantined:
 		s.failAll(p.Code)
+	case p.Code.Effect() == result.NotRun:
+		s.fail(p.Shard, p.Code)
+		s.startCanary(now, st)
+	default:
+		s.canary = -1
+		s.asking = true
+		st.AskAgain = true
 	}
 }
 
 // mayRetry reports whether another attempt is worth its cost. A quarantined fingerprint is
 // refused everywhere, and a canary request that may have harmed an upstream is never repeated here.
 func (s *state) mayRetry(now time.Time, p Part) bool {
-	if p.Code == result.Quarantined || len(s.shards[p.Shard].attempts) >= maxAttempts {
+	if p.Code == result.Quarantined || len(s.shards[p.Shard].attempts) >= MaxAttempts {
 		return false
 	}
 	if s.canary == p.Shard && p.Code.Effect() != result.NotRun {
@@ -231,24 +290,30 @@
 	}
 }
 
-// failAll ends every shard that is still open, as the canary request decides for all of them.
+// failAll ends every shard that is still open.
 func (s *state) failAll(code result.Code) {
 	for i := range s.shards {
 		s.fail(i, code)
 	}
 }
 
-// hedge sends a second attempt for each shard whose only pending attempt is late.
+// hedge sends a second attempt for each shard whose only pending attempt is late. A second canary
+// request needs the coordinator's leave, because it is a second upstream at risk.
 func (s *state) hedge(now time.Time, st *Step) {
 	for i := range s.shards {
 		sh := &s.shards[i]
 		late, ok := s.lateAttempt(now, i)
-		if !ok || len(sh.attempts) >= maxAttempts || len(s.plan.Shards[i].Replicas) < 2 {
+		if !ok || len(sh.attempts) >= MaxAttempts || len(s.plan.Shards[i].Replicas) < 2 {
 			continue
 		}
 		if s.choose.Queued(late.Server) || !s.budget.AllowHedge() {
 			continue
 		}
+		if s.canary == i {
+			s.asking = true
+			st.AskAgain = true
+			continue
+		}
 		s.send(now, i, true, st)
 	}
 }
@@ -256,7 +321,7 @@
 // lateAttempt returns the shard's only pending attempt if it is beyond the hedge delay and no hedge was sent.
 func (s *state) lateAttempt(now time.Time, i int) (attempt, bool) {
 	sh := &s.shards[i]
-	if sh.part != nil || sh.failed != 0 || (s.canary >= 0 && s.canary != i) {
+	if sh.ended() || s.asking || (s.canary >= 0 && s.canary != i) {
 		return attempt{}, false
 	}
 	var pending []attempt
@@ -303,7 +368,7 @@
 				st.Cancel = append(st.Cancel, a.Attempt)
 			}
 		}
-		if sh.part == nil && sh.failed == 0 {
+		if !sh.ended() {
 			sh.failed = result.Late
 			if len(sh.attempts) == 0 {
 				sh.failed = result.DeadlineExpired
@@ -345,7 +410,7 @@
 	next := end
 	for i := range s.shards {
 		sh := &s.shards[i]
-		if sh.part != nil || sh.failed != 0 || len(sh.attempts) != 1 {
+		if sh.ended() || len(sh.attempts) != 1 {
 			continue
 		}
 		due := sh.attempts[0].sent.Add(s.choose.HedgeDelay(s.plan.Shards[i].Shard.Group))
--- a/table/table.go
+++ b/table/table.go
@@ -16,6 +16,7 @@
 	RankBudget     Rank = 60
 	RankBalancer   Rank = 70
 	RankGather     Rank = 80
+	RankPending    Rank = 85
 	RankShutdown   Rank = 90
 )
 
--- /dev/null
+++ b/transport/rest/cancel.go
@@ -0,0 +1,57 @@
+package rest
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"pistachioshore.dev/transport"
+)
+
+// controlIdle is how long a control connection is kept after its last use.
+const controlIdle = 10 * time.Second
+
+// Controls cancels calls over at most one connection to each upstream.
+type Controls struct {
+	mu      sync.Mutex
+	clients map[netip.AddrPort]*http.Client
+}
+
+var _ transport.Canceller = (*Controls)(nil)
+
+// NewControls returns a canceller without connections.
+func NewControls() *Controls {
+	return &Controls{clients: map[netip.AddrPort]*http.Client{}}
+}
+
+// Cancel asks the upstream to stop a call.
+func (c *Controls) Cancel(ctx context.Context, address netip.AddrPort, requestID string, attempt int) error {
+	target := "http://" + address.String() + "/v1/requests/" + url.PathEscape(requestID)
+	req, err := http.NewRequestWithContext(ctx, http.MethodDelete, target, nil)
+	if err != nil {
+		return errors.Wrap(err, "build cancellation")
+	}
+	req.Header.Set("Attempt", strconv.Itoa(attempt))
+	resp, err := c.client(address).Do(req)
+	if err != nil {
+		return errors.Wrapf(err, "cancel at %s", address)
+	}
+	return resp.Body.Close()
+}
+
+func (c *Controls) client(address netip.AddrPort) *http.Client {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.clients[address] == nil {
+		c.clients[address] = &http.Client{Transport: &http.Transport{
+			MaxConnsPerHost: 1, MaxIdleConnsPerHost: 1, IdleConnTimeout: controlIdle,
+		}}
+	}
+	return c.clients[address]
+}
--- a/transport/rest/rest.go
+++ b/transport/rest/rest.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"net/netip"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -61,7 +60,7 @@
 func newConn(address netip.AddrPort, nc net.Conn, o options) *conn {
 	c := &conn{
 		base:    "http://" + address.String(),
-		watched: &watchedConn{Conn: nc, lost: make(chan struct{})},
+		watched: &watchedConn{Conn: nc},
 		maxBody: o.maxBody,
 	}
 	t := &http.Transport{DialContext: c.dial, MaxConnsPerHost: 1, DisableCompression: true}
@@ -77,9 +76,9 @@
 	return c.watched, nil
 }
 
-// Lost is closed once the other end or a call has ended the connection.
-func (c *conn) Lost() <-chan struct{} {
-	return c.watched.lost
+// OnLost has fn called once the other end or a call has ended the connection.
+func (c *conn) OnLost(fn func()) {
+	c.watched.onLost(fn)
 }
 
 // Close ends the connection.
@@ -193,36 +192,3 @@
 		return result.UpstreamFailed
 	}
 }
-
-// watchedConn counts what was written and tells when the connection ends.
-type watchedConn struct {
-	net.Conn
-	written atomic.Int64
-	once    sync.Once
-	lost    chan struct{}
-}
-
-// Read marks the connection lost when the other end has closed or reset it.
-func (w *watchedConn) Read(b []byte) (int, error) {
-	n, err := w.Conn.Read(b)
-	if err != nil {
-		w.markLost()
-	}
-	return n, err
-}
-
-// Write counts the bytes that may have reached the upstream.
-func (w *watchedConn) Write(b []byte) (int, error) {
-	w.written.Add(int64(len(b))) // counted first: a failed write may still have sent a part
-	return w.Conn.Write(b)
-}
-
-// Close ends the connection.
-func (w *watchedConn) Close() error {
-	w.markLost()
-	return w.Conn.Close()
-}
-
-func (w *watchedConn) markLost() {
-	w.once.Do(func() { close(w.lost) })
-}
--- /dev/null
+++ b/transport/socket/socket.go
@@ -0,0 +1,228 @@
+// Package socket carries CBOR messages between VMs over WebSocket.
+//
+// A VM sends on the connections that it opened and receives on those that it accepted. Each
+// connection is pinged, because a path can go silent for good while new connections work.
+package socket
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/coder/websocket"
+
+	"pistachioshore.dev/codec"
+	"pistachioshore.dev/result"
+	"pistachioshore.dev/transport"
+	"pistachioshore.dev/wire"
+)
+
+// Subprotocol names the messages and their encoding in the WebSocket handshake.
+const Subprotocol = "pistachio-peer-1"
+
+// Path is where a VM accepts the connections of other VMs.
+const Path = "/v1/peer"
+
+// Receiver takes what arrives and learns what did not leave. Its methods must not block.
+type Receiver interface {
+	// Receive takes a message from another VM.
+	Receive(from netip.AddrPort, message *wire.Envelope)
+	// Undelivered returns messages that were accepted by Send but never written.
+	Undelivered(vm netip.AddrPort, messages []*wire.Envelope)
+	// Disconnected says that messages already written to the VM may not have arrived.
+	Disconnected(vm netip.AddrPort)
+	// Refused says that a connection to the VM could not be opened.
+	Refused(vm netip.AddrPort)
+}
+
+// Hub holds the connections of one VM to the others.
+type Hub struct {
+	self  wire.Hello
+	codec *codec.Codec
+	opts  options
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	work   sync.WaitGroup
+
+	mu       sync.Mutex
+	receiver Receiver
+	links    map[netip.AddrPort]*link
+}
+
+var _ transport.Peer = (*Hub)(nil)
+
+// New returns a hub for the VM that hello describes.
+func New(hello wire.Hello, c *codec.Codec, opts ...Option) *Hub {
+	o := defaultOptions()
+	for _, opt := range opts {
+		opt(&o)
+	}
+	h := &Hub{self: hello, codec: c, opts: o, links: map[netip.AddrPort]*link{}}
+	h.ctx, h.cancel = context.WithCancel(context.Background())
+	return h
+}
+
+// Start gives the hub its receiver; nothing is sent or received before.
+func (h *Hub) Start(r Receiver) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.receiver = r
+}
+
+// Connect keeps a connection to a VM open until Forget; a link that exists is left alone.
+func (h *Hub) Connect(vm netip.AddrPort) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.links[vm] != nil || h.receiver == nil || h.ctx.Err() != nil {
+		return
+	}
+	l := newLink(h, vm, h.receiver)
+	h.links[vm] = l
+	h.work.Go(l.run)
+}
+
+// Forget closes the connection to a VM and drops what is queued for it.
+func (h *Hub) Forget(vm netip.AddrPort) {
+	h.mu.Lock()
+	l := h.links[vm]
+	delete(h.links, vm)
+	h.mu.Unlock()
+	if l != nil {
+		l.cancel()
+	}
+}
+
+// Send queues a message for a VM; false means that it was not sent and will not be.
+func (h *Hub) Send(vm netip.AddrPort, message *wire.Envelope) bool {
+	h.mu.Lock()
+	l := h.links[vm]
+	h.mu.Unlock()
+	return l != nil && l.push(message)
+}
+
+// Peers lists the VMs that a connection is kept to.
+func (h *Hub) Peers() []netip.AddrPort {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	vms := make([]netip.AddrPort, 0, len(h.links))
+	for vm := range h.links {
+		vms = append(vms, vm)
+	}
+	return vms
+}
+
+// Close ends all connections and waits for their goroutines.
+func (h *Hub) Close() {
+	h.cancel()
+	h.work.Wait()
+}
+
+// ServeHTTP accepts the connection of another VM and receives on it until it ends.
+func (h *Hub) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.mu.Lock()
+	receiver := h.receiver
+	if receiver == nil || h.ctx.Err() != nil {
+		h.mu.Unlock()
+		http.Error(w, result.New(result.NotReady, "the VM does not take part yet").Error(), http.StatusServiceUnavailable)
+		return
+	}
+	h.work.Add(1)
+	h.mu.Unlock()
+	defer h.work.Done()
+	c, err := websocket.Accept(w, r, &websocket.AcceptOptions{Subprotocols: []string{Subprotocol}})
+	if err != nil {
+		return // Accept has answered with the reason
+	}
+	defer func() { _ = c.CloseNow() }()
+	c.SetReadLimit(int64(h.opts.frameLimit) + 1)
+	if c.Subprotocol() != Subprotocol {
+		fault := result.Field(result.WrongSubprotocol, "Sec-WebSocket-Protocol", c.Subprotocol(), Subprotocol)
+		_ = c.Close(websocket.StatusPolicyViolation, fault.Error())
+		return
+	}
+	h.receive(c, receiver)
+}
+
+func (h *Hub) receive(c *websocket.Conn, receiver Receiver) {
+	first, err := h.read(c)
+	if err != nil || first.Hello == nil {
+		h.reject(c, err)
+		return
+	}
+	from := first.Hello.VM
+	for {
+		m, err := h.read(c)
+		if err != nil {
+			h.reject(c, err)
+			return
+		}
+		receiver.Receive(from, m)
+	}
+}
+
+// read returns the next message; a peer sends heartbeats, so a longer silence ends the connection.
+func (h *Hub) read(c *websocket.Conn) (*wire.Envelope, error) {
+	ctx, cancel := context.WithTimeout(h.ctx, h.opts.silence)
+	defer cancel()
+	_, frame, err := c.Read(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return h.codec.DecodeFrame(frame, h.opts.frameLimit)
+}
+
+// reject closes a connection and names the fault of its last frame, if it had one.
+func (h *Hub) reject(c *websocket.Conn, err error) {
+	reason := result.New(result.Malformed, "the first message must be hello").Error()
+	if err != nil {
+		reason = err.Error()
+	}
+	const maxReason = 120 // a close frame carries at most 123 bytes of reason
+	if len(reason) > maxReason {
+		reason = reason[:maxReason]
+	}
+	_ = c.Close(websocket.StatusPolicyViolation, reason)
+}
+
+func (h *Hub) dial(ctx context.Context, vm netip.AddrPort) (*websocket.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, h.opts.progress)
+	defer cancel()
+	c, resp, err := websocket.Dial(ctx, "ws://"+vm.String()+Path, &websocket.DialOptions{
+		Subprotocols: []string{Subprotocol}, HTTPClient: h.opts.client,
+	})
+	if err != nil {
+		if resp != nil && resp.Body != nil {
+			_ = resp.Body.Close()
+		}
+		return nil, err
+	}
+	hello := h.self
+	if err := h.write(ctx, c, &wire.Envelope{Kind: codec.KindHello, Hello: &hello}); err != nil {
+		_ = c.CloseNow()
+		return nil, err
+	}
+	return c, nil
+}
+
+func (h *Hub) write(ctx context.Context, c *websocket.Conn, m *wire.Envelope) error {
+	frame, err := h.codec.EncodeFrame(m)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, h.opts.progress)
+	defer cancel()
+	return c.Write(ctx, websocket.MessageBinary, frame)
+}
+
+// waitUntil waits for d or for the end of ctx.
+func waitUntil(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -17,12 +17,18 @@
 	Connect(ctx context.Context, address netip.AddrPort) (Conn, error)
 }
 
+// Canceller withdraws calls that run at an upstream, over a connection of its own.
+type Canceller interface {
+	// Cancel asks the upstream to stop a call; the connection of the call survives.
+	Cancel(ctx context.Context, address netip.AddrPort, requestID string, attempt int) error
+}
+
 // Conn is one connection to an upstream; it carries one call at a time and is never reopened.
 type Conn interface {
 	// Do runs one call; the reply's code tells whether the upstream may have started it.
 	Do(ctx context.Context, call Call) Reply
-	// Lost is closed once the connection can carry no further call.
-	Lost() <-chan struct{}
+	// OnLost has fn called once when the connection can carry no further call; fn must not block.
+	OnLost(fn func())
 	// Close ends the connection.
 	Close() error
 }
@@ -67,8 +73,12 @@
 	Changed bool
 }
 
-// Peer sends messages to another VM.
+// Peer sends messages to other VMs.
 type Peer interface {
+	// Connect keeps a connection to a VM open until Forget.
+	Connect(vm netip.AddrPort)
+	// Forget closes the connection to a VM.
+	Forget(vm netip.AddrPort)
 	// Send queues a message without blocking; false means that it was not sent.
 	Send(vm netip.AddrPort, message *wire.Envelope) bool
 }
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -23,6 +23,18 @@
 	Value string `json:"value"`
 }
 
+// BudgetStatus is the level of a route's budgets.
+type BudgetStatus struct {
+	// Hedges corresponds to the JSON schema field "hedges".
+	Hedges float64 `json:"hedges"`
+
+	// Retries corresponds to the JSON schema field "retries".
+	Retries float64 `json:"retries"`
+
+	// Route corresponds to the JSON schema field "route".
+	Route string `json:"route"`
+}
+
 // CanaryReport tells how a run of a fingerprint ended.
 type CanaryReport struct {
 	// Fingerprint corresponds to the JSON schema field "fingerprint".
@@ -476,6 +488,24 @@
 	Items []Part `json:"items"`
 }
 
+// PeerStatus is what a VM believes about another one.
+type PeerStatus struct {
+	// Address corresponds to the JSON schema field "address".
+	Address string `json:"address"`
+
+	// Time since the VM was last heard, for example 180ms.
+	Age string `json:"age"`
+
+	// Incarnation corresponds to the JSON schema field "incarnation".
+	Incarnation uint64 `json:"incarnation"`
+
+	// State corresponds to the JSON schema field "state".
+	State string `json:"state"`
+
+	// Zone corresponds to the JSON schema field "zone".
+	Zone string `json:"zone"`
+}
+
 // Permit allows one run of a non-idempotent request; only the incarnation of the
 // VM that issued it can spend it.
 type Permit struct {
@@ -729,6 +759,57 @@
 	Items []StartCount `json:"items"`
 }
 
+// Status is what one VM believes.
+type Status struct {
+	// Address corresponds to the JSON schema field "address".
+	Address string `json:"address"`
+
+	// Budgets corresponds to the JSON schema field "budgets".
+	Budgets []BudgetStatus `json:"budgets"`
+
+	// ConfigAge corresponds to the JSON schema field "config-age".
+	ConfigAge string `json:"config-age"`
+
+	// Digest corresponds to the JSON schema field "digest".
+	Digest string `json:"digest"`
+
+	// InFlight corresponds to the JSON schema field "in-flight".
+	InFlight int `json:"in-flight"`
+
+	// Incarnation corresponds to the JSON schema field "incarnation".
+	Incarnation uint64 `json:"incarnation"`
+
+	// Peers corresponds to the JSON schema field "peers".
+	Peers []PeerStatus `json:"peers"`
+
+	// Permits corresponds to the JSON schema field "permits".
+	Permits int `json:"permits"`
+
+	// Phase corresponds to the JSON schema field "phase".
+	Phase string `json:"phase"`
+
+	// Quarantined corresponds to the JSON schema field "quarantined".
+	Quarantined int `json:"quarantined"`
+
+	// Ready corresponds to the JSON schema field "ready".
+	Ready bool `json:"ready"`
+
+	// Revision corresponds to the JSON schema field "revision".
+	Revision uint64 `json:"revision"`
+
+	// Snapshot corresponds to the JSON schema field "snapshot".
+	Snapshot uint64 `json:"snapshot"`
+
+	// Upstreams corresponds to the JSON schema field "upstreams".
+	Upstreams []UpstreamStatus `json:"upstreams"`
+
+	// Zone corresponds to the JSON schema field "zone".
+	Zone string `json:"zone"`
+
+	// ZonesOut corresponds to the JSON schema field "zones-out".
+	ZonesOut []string `json:"zones-out"`
+}
+
 // SubRequest is the part of a request that one upstream runs.
 type SubRequest struct {
 	// Attempt corresponds to the JSON schema field "attempt".
@@ -810,6 +891,36 @@
 	Upstream string `json:"upstream"`
 }
 
+// UpstreamStatus is what the owner VM of an upstream keeps about it.
+type UpstreamStatus struct {
+	// Cold corresponds to the JSON schema field "cold".
+	Cold bool `json:"cold"`
+
+	// Connections corresponds to the JSON schema field "connections".
+	Connections int `json:"connections"`
+
+	// Incarnation corresponds to the JSON schema field "incarnation".
+	Incarnation string `json:"incarnation"`
+
+	// Limit corresponds to the JSON schema field "limit".
+	Limit int `json:"limit"`
+
+	// Owned corresponds to the JSON schema field "owned".
+	Owned bool `json:"owned"`
+
+	// Queued corresponds to the JSON schema field "queued".
+	Queued int `json:"queued"`
+
+	// Running corresponds to the JSON schema field "running".
+	Running int `json:"running"`
+
+	// Upstream corresponds to the JSON schema field "upstream".
+	Upstream string `json:"upstream"`
+
+	// Verified corresponds to the JSON schema field "verified".
+	Verified int `json:"verified"`
+}
+
 // VM is one entry of the platform's list.
 type VM struct {
 	// Address corresponds to the JSON schema field "address".
