--- /dev/null
+++ b/permit/permit_test.go
@@ -0,0 +1,96 @@
+package permit_test
+
+import (
+	"fmt"
+	"net/netip"
+	"regexp"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"pgregory.net/rapid"
+
+	"pistachioshore.dev/permit"
+	"pistachioshore.dev/result"
+)
+
+var issuer = netip.MustParseAddrPort("127.0.0.1:7001")
+
+// TestScripts guards the answer that a request gets in each state of its permit.
+func TestScripts(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tab := permit.New(issuer, 7, permit.Settings{Lifetime: 30 * time.Second, Keep: time.Minute, Limit: 3})
+	datadriven.RunTest(t, "testdata/permit.txt", func(_ *testing.T, d *datadriven.TestData) string {
+		return regexp.MustCompile(`[^;\n]+`).ReplaceAllStringFunc(d.Input, func(command string) string {
+			p := permit.Permit{Issuer: issuer, Incarnation: 7, Token: "t"}
+			var cmd string
+			var n int
+			fmt.Sscan(command, &cmd, &p.Sequence, &n, &p.Token, &p.Incarnation)
+			switch cmd {
+			case "after":
+				now = now.Add(time.Duration(p.Sequence) * time.Second)
+			case "issue":
+				got, err := tab.Issue(now, "t")
+				return fmt.Sprint(" ", got.Sequence, err)
+			case "consume":
+				got := tab.Consume(now, p, uint64(n))
+				return fmt.Sprint(" ", got.Run, got.Wait != nil, got.Kept, uint16(got.Refused))
+			case "finish":
+				tab.Finish(now, p, permit.Outcome{Code: result.Code(n)})
+			case "revoke":
+				return fmt.Sprint(" ", tab.Revoke(now))
+			}
+			return " -"
+		})
+	})
+}
+
+// TestAtMostOnce guards against a second execution under one permit, and against a "not run" for a
+// request that runs or may have run.
+func TestAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		tab := permit.New(issuer, 7, permit.Settings{Lifetime: 3 * time.Second, Keep: 2 * time.Second, Limit: 4})
+		var permits, active []permit.Permit
+		ran, body := map[uint64]bool{}, map[uint64]uint64{}
+		t.Repeat(map[string]func(*rapid.T){
+			"issue": func(*rapid.T) {
+				p, _ := tab.Issue(now, "t")
+				permits = append(permits, p)
+			},
+			"consume": func(t *rapid.T) {
+				p := rapid.SampledFrom(append(permits, permit.Permit{})).Draw(t, "permit")
+				f := rapid.Uint64Range(1, 2).Draw(t, "body")
+				d := tab.Consume(now, p, f)
+				if d.Refused != 0 && d.Refused.Effect() == result.NotRun && ran[p.Sequence] && body[p.Sequence] == f {
+					t.Fatalf("got %v for permit %d, want no claim that it has not run", d.Refused, p.Sequence)
+				}
+				if d.Run && ran[p.Sequence] {
+					t.Fatalf("got a second run of permit %d, want none", p.Sequence)
+				}
+				if d.Run {
+					ran[p.Sequence], body[p.Sequence] = true, f
+					active = append(active, p)
+				}
+			},
+			"finish": func(t *rapid.T) {
+				i := rapid.IntRange(0, len(active)).Draw(t, "active")
+				code := rapid.SampledFrom([]result.Code{result.Executed, result.OutcomeUnknown, result.UpstreamShed}).Draw(t, "code")
+				if i < len(active) {
+					tab.Finish(now, active[i], permit.Outcome{Code: code})
+					ran[active[i].Sequence] = code.Effect() != result.NotRun
+					active = append(active[:i], active[i+1:]...)
+				}
+			},
+			"advance": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond)
+			},
+			"expire": func(*rapid.T) { tab.Expire(now) },
+			"revoke": func(t *rapid.T) {
+				if rapid.IntRange(0, 9).Draw(t, "rarely") == 0 {
+					tab.Revoke(now)
+				}
+			},
+		})
+	})
+}
