--- /dev/null
+++ b/quarantine/fingerprint.go
@@ -0,0 +1,33 @@
+package quarantine
+
+import (
+	"encoding/binary"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Fingerprint returns the xxhash64 of what a request does. The order of groups does not matter.
+// Each list is preceded by its length and each text by its size, so that no two requests are joined
+// to the same bytes.
+func Fingerprint(operation string, groups, fields []string, limit int) uint64 {
+	sorted := slices.Sorted(slices.Values(groups))
+	b := appendText(nil, operation)
+	b = appendList(b, sorted)
+	b = appendList(b, fields)
+	b = binary.AppendVarint(b, int64(limit))
+	return xxhash.Sum64(b)
+}
+
+func appendList(b []byte, list []string) []byte {
+	b = binary.AppendUvarint(b, uint64(len(list)))
+	for _, s := range list {
+		b = appendText(b, s)
+	}
+	return b
+}
+
+func appendText(b []byte, s string) []byte {
+	b = binary.AppendUvarint(b, uint64(len(s)))
+	return append(b, s...)
+}
