--- /dev/null
+++ b/budget/attempts.go
@@ -0,0 +1,40 @@
+package budget
+
+// Attempts grants the hedges and retries of one route at one VM. All queries of the route share
+// it, so that the tier keeps to the shares without a shared counter. It is safe for concurrent use.
+type Attempts struct {
+	hedges  *Tokens
+	retries *Tokens
+}
+
+// NewAttempts returns the budget of a route with the hedges and retries allowed for each primary.
+func NewAttempts(hedgeShare, retryShare float64) *Attempts {
+	return &Attempts{hedges: NewTokens(hedgeShare, 0), retries: NewTokens(retryShare, StartRetries)}
+}
+
+// SetShares takes the shares of a new configuration and keeps the tokens already earned.
+func (a *Attempts) SetShares(hedgeShare, retryShare float64) {
+	a.hedges.SetShare(hedgeShare)
+	a.retries.SetShare(retryShare)
+}
+
+// Earn adds the shares of primary sub-requests.
+func (a *Attempts) Earn(primaries int) {
+	a.hedges.Earn(primaries)
+	a.retries.Earn(primaries)
+}
+
+// AllowHedge spends one hedge; it reports false if the budget has none.
+func (a *Attempts) AllowHedge() bool {
+	return a.hedges.Take()
+}
+
+// AllowRetry spends one retry; it reports false if the budget has none.
+func (a *Attempts) AllowRetry() bool {
+	return a.retries.Take()
+}
+
+// Levels returns the hedges and retries that the budget holds.
+func (a *Attempts) Levels() (hedges, retries float64) {
+	return a.hedges.Level(), a.retries.Level()
+}
--- a/budget/budget.go
+++ b/budget/budget.go
@@ -1,2 +1,3 @@
-// Package budget bounds the work that a VM accepts and the attempts beyond the first.
+// Package budget bounds the work that a VM accepts, the attempts beyond the first, and the time of
+// each hop.
 package budget
--- /dev/null
+++ b/budget/tokens.go
@@ -0,0 +1,58 @@
+package budget
+
+import "pistachioshore.dev/table"
+
+// tokenParts is the number of units in a token; whole units add up without rounding errors.
+const tokenParts = 1_000_000
+
+// Tokens is a budget that earns a share of a token for each primary and holds at most Burst; it is
+// safe for concurrent use.
+type Tokens struct {
+	state *table.Guarded[tokens]
+}
+
+type tokens struct {
+	share int64 // units earned for each primary
+	level int64 // units held
+}
+
+// NewTokens returns a budget with a share from 0 to 1 and the tokens that it starts with.
+func NewTokens(share float64, start int) *Tokens {
+	level := int64(min(max(start, 0), Burst)) * tokenParts
+	return &Tokens{state: table.NewGuarded(table.RankBudget, tokens{units(share), level})}
+}
+
+// SetShare changes what later primaries earn.
+func (t *Tokens) SetShare(share float64) {
+	t.state.With(func(s *tokens) { s.share = units(share) })
+}
+
+// Earn adds the share of n primaries.
+func (t *Tokens) Earn(n int) {
+	n = min(max(n, 0), Burst*tokenParts) // beyond this the burst caps any share, and sums stay small
+	t.state.With(func(s *tokens) { s.level = min(s.level+int64(n)*s.share, Burst*tokenParts) })
+}
+
+// Take spends one token; it reports false if there is none.
+func (t *Tokens) Take() bool {
+	return table.Read(t.state, func(s *tokens) bool {
+		if s.level < tokenParts {
+			return false
+		}
+		s.level -= tokenParts
+		return true
+	})
+}
+
+// Level returns the tokens held.
+func (t *Tokens) Level() float64 {
+	return table.Read(t.state, func(s *tokens) float64 { return float64(s.level) / tokenParts })
+}
+
+// units converts a share; one that is not between 0 and 1 is taken for the nearest, NaN for 0.
+func units(share float64) int64 {
+	if !(share > 0) {
+		return 0
+	}
+	return int64(min(share, 1)*tokenParts + 0.5)
+}
