Add replica choice by outcomes and the latency estimate behind hedges

Reported load can be wrong, so replicas are chosen by peak-EWMA of observed times and attempts in flight with power of two choices; round robin and two choices on reported load serve as baselines. Estimates decay towards the faster candidate, one straggler raises them threefold at most, and refusals for load cost for some seconds but never eject. Failures in a row eject for 1 s, doubling to 30 s, and at least half of the candidates stay eligible.

The hedge delay is the 95th percentile of a histogram with fixed buckets and a half-life of 1 s. Results are bucket bounds, at most 9.1% above the true value.

--- /dev/null
+++ b/balancer/balancer_test.go
@@ -0,0 +1,93 @@
+package balancer_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"pistachioshore.dev/balancer"
+	"pistachioshore.dev/balancer/outcome"
+	"pistachioshore.dev/balancer/roundrobin"
+	"pistachioshore.dev/balancer/twochoices"
+	"pistachioshore.dev/gather"
+)
+
+var _ gather.Chooser = (*balancer.Chooser)(nil)
+
+// chooser drives one policy by script; a fixed seed makes its shares repeatable.
+type chooser struct {
+	*balancer.Chooser
+	now time.Time
+	r   *rand.Rand
+}
+
+func newChooser(policy string) *chooser {
+	p := map[string]balancer.Policy[string]{
+		"outcome": outcome.New[string](), "roundrobin": roundrobin.New[string](), "twochoices": twochoices.New[string](),
+	}[policy]
+	latency := balancer.NewLatency(balancer.LatencyDefaults())
+	return &chooser{balancer.NewChooser(p, latency), time.Unix(1000, 0), rand.New(rand.NewPCG(1, 1))}
+}
+
+// shares returns how often each candidate is chosen in 1000 times, each ended before the next.
+func (c *chooser) shares(candidates string) string {
+	count := map[string]int{}
+	for range 1000 {
+		server := c.Choose(c.now, c.r, strings.Split(candidates, ","))
+		c.Observe(c.now, "none", server, balancer.Observation{Cancelled: true})
+		count[server]++
+	}
+	return fmt.Sprint(count)
+}
+
+// observe reports n results at 100 a second: ok, shed, cancelled or failed, with elapsed and load.
+func (c *chooser) observe(server, how string, elapsed time.Duration, load, n int) {
+	o := balancer.Observation{Elapsed: elapsed, Queued: load, ReportedLoad: load}
+	o.OK, o.Shed, o.Cancelled = how == "ok", how == "shed", how == "cancelled"
+	for range n {
+		c.now = c.now.Add(10 * time.Millisecond)
+		c.Observe(c.now, "group", server, o)
+	}
+}
+
+// TestScripts guards the shares that each policy gives to fast, slow, failing and misreporting
+// candidates, and the percentiles that hedges and retries rest on.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		var c *chooser
+		datadriven.RunTest(t, path, func(_ *testing.T, d *datadriven.TestData) string {
+			c = newChooser(d.Cmd)
+			return regexp.MustCompile(`[^;\n]+`).ReplaceAllStringFunc(d.Input, func(command string) string {
+				var cmd, name, wait string
+				var load, n int
+				fmt.Sscan(command, &cmd, &name, &wait, &load, &n)
+				elapsed, _ := time.ParseDuration(wait)
+				switch cmd {
+				case "shares":
+					return " " + c.shares(name)
+				case "start":
+					fmt.Sscan(wait, &n)
+					for ; n > 1; n-- {
+						c.Choose(c.now, c.r, strings.Split(name, ","))
+					}
+					return " " + c.Choose(c.now, c.r, strings.Split(name, ","))
+				case "after":
+					wait, _ := time.ParseDuration(name)
+					c.now = c.now.Add(wait)
+				case "times":
+					return fmt.Sprint(" ", c.HedgeDelay("group"), " ", c.Typical("group"))
+				case "queued":
+					return fmt.Sprint(" ", c.Queued(name))
+				default:
+					c.observe(cmd, name, elapsed, load, max(n, 1))
+				}
+				return " -"
+			})
+		})
+	})
+}
--- /dev/null
+++ b/balancer/chooser.go
@@ -0,0 +1,83 @@
+package balancer
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"pistachioshore.dev/table"
+)
+
+// Chooser picks replicas by a policy and knows the times of each group; it implements
+// gather.Chooser, and all queries of a VM share one. It is safe for concurrent use.
+type Chooser struct {
+	policy  Policy[string]
+	latency *Latency
+	queues  *table.Guarded[queues]
+}
+
+type queues struct {
+	latest time.Time // newest time seen, because Queued is asked without one
+	queued *table.Recent[string, int]
+}
+
+// NewChooser returns a chooser that has seen no results.
+func NewChooser(p Policy[string], l *Latency) *Chooser {
+	q := queues{queued: table.NewRecent[string, int](maxServers)}
+	return &Chooser{policy: p, latency: l, queues: table.NewGuarded(table.RankBalancer, q)}
+}
+
+// Choose returns one of the candidates and counts an attempt at it as in flight, which has to be
+// followed by one Observe, also when the attempt was never sent.
+func (c *Chooser) Choose(now time.Time, r *rand.Rand, candidates []string) string {
+	server := c.policy.Choose(now, r, candidates)
+	c.policy.Start(now, server)
+	c.queues.With(func(q *queues) { q.advance(now) })
+	return server
+}
+
+// Observe takes how an attempt of the group ended at the server.
+func (c *Chooser) Observe(now time.Time, group, server string, o Observation) {
+	c.policy.Observe(now, server, o)
+	switch {
+	case o.OK:
+		c.latency.Observe(now, group, o.Elapsed)
+	case !o.Shed:
+		c.latency.ObserveAtLeast(now, group, o.Elapsed)
+	}
+	c.queues.With(func(q *queues) { q.observe(now, server, o) })
+}
+
+// HedgeDelay returns how long a shard result of the group may take before a hedge is worth its cost.
+func (c *Chooser) HedgeDelay(group string) time.Duration {
+	return c.latency.HedgeDelay(group)
+}
+
+// Typical returns the median time of a shard result of the group.
+func (c *Chooser) Typical(group string) time.Duration {
+	return c.latency.Typical(group)
+}
+
+// Queued reports whether the last attempt that ended at the server found a queue. A report is
+// believed for 500 ms, up to the newest time that Choose or Observe was called with.
+func (c *Chooser) Queued(server string) bool {
+	return table.Read(c.queues, func(q *queues) bool {
+		_, ok := q.queued.Get(server, q.latest)
+		return ok
+	})
+}
+
+func (q *queues) advance(now time.Time) {
+	if now.After(q.latest) {
+		q.latest = now
+	}
+}
+
+func (q *queues) observe(now time.Time, server string, o Observation) {
+	q.advance(now)
+	switch {
+	case o.Queued > 0:
+		q.queued.Put(server, o.Queued, now.Add(queuedFor))
+	case !o.Cancelled:
+		q.queued.Delete(server)
+	}
+}
