Add the state machine of a graceful shutdown

The machine returns each action of the shutdown order once and says when to look again. Bounds count from the start, so time that one phase leaves goes to the next, and Exit comes at 8 s at the latest. Inputs that were read before an action do not end the phase that the action begins, because they do not show its effect.

--- /dev/null
+++ b/shutdown/machine.go
@@ -0,0 +1,123 @@
+package shutdown
+
+import (
+	"time"
+
+	"pistachioshore.dev/table"
+)
+
+// Machine goes through the phases of one shutdown; it is safe for concurrent use. Each action is
+// returned once. The last one is Exit, at most 8 s after the start if the VM looks when told to.
+type Machine struct {
+	state *table.Guarded[state]
+}
+
+type state struct {
+	phase   Phase
+	started time.Time
+	lag     time.Duration
+}
+
+// New returns a machine in the phase Serving.
+func New(s Settings) *Machine {
+	lag := min(max(s.BalancerLag, 0), MaxBalancerLag)
+	return &Machine{state: table.NewGuarded(table.RankShutdown, state{lag: lag})}
+}
+
+// Start begins the shutdown; a second call does nothing.
+func (m *Machine) Start(now time.Time) Step {
+	return table.Read(m.state, func(s *state) Step {
+		if s.phase != Serving {
+			return s.step(now, nil)
+		}
+		s.phase = Announcing
+		s.started = now
+		return s.step(now, []Action{ReadinessOff, AnnounceLeaving, StopPermits})
+	})
+}
+
+// Next goes on as far as the inputs and the time allow. Inputs that were read before an action was
+// taken do not show its effect, so after an action only a bound ends the next phase at once.
+func (m *Machine) Next(now time.Time, in Inputs) Step {
+	return table.Read(m.state, func(s *state) Step {
+		var actions []Action
+		for s.late(now) || (len(actions) == 0 && s.finished(in)) {
+			actions = append(actions, s.leave(in)...)
+		}
+		return s.step(now, actions)
+	})
+}
+
+// Phase returns the phase reached.
+func (m *Machine) Phase() Phase {
+	return table.Read(m.state, func(s *state) Phase { return s.phase })
+}
+
+// late reports whether the time of the phase is over.
+func (s *state) late(now time.Time) bool {
+	return s.phase != Serving && s.phase != Stopped && !now.Before(s.bound())
+}
+
+// finished reports whether the phase has nothing left to wait for.
+func (s *state) finished(in Inputs) bool {
+	switch s.phase {
+	case HandingOver:
+		return in.Running <= 0 && in.Handovers <= 0
+	case Draining, Ending:
+		return in.Own <= 0
+	case Closing:
+		return in.Flushed
+	default:
+		return false
+	}
+}
+
+// bound returns the time at which the phase ends whatever is left.
+func (s *state) bound() time.Time {
+	switch s.phase {
+	case Announcing:
+		return s.started.Add(s.lag)
+	case HandingOver:
+		return s.started.Add(s.lag + handOverFor)
+	case Draining:
+		return s.started.Add(drainBound)
+	case Ending:
+		return s.started.Add(endBound)
+	default:
+		return s.started.Add(exitBound)
+	}
+}
+
+// leave enters the next phase and returns what is done between the two.
+func (s *state) leave(in Inputs) []Action {
+	finished := s.finished(in)
+	s.phase++
+	switch s.phase {
+	case HandingOver:
+		return []Action{RefuseNew, HandOver}
+	case Draining:
+		if !finished {
+			return []Action{HandOverNow}
+		}
+	case Ending:
+		if !finished {
+			return []Action{EndOwn}
+		}
+	case Closing:
+		return []Action{RevokePermits, ClosePeers, Flush}
+	case Stopped:
+		return []Action{Exit}
+	}
+	return nil
+}
+
+func (s *state) step(now time.Time, actions []Action) Step {
+	st := Step{Phase: s.phase, Actions: actions}
+	if s.phase != Serving && s.phase != Stopped {
+		st.LookAt = now.Add(lookEvery)
+		if bound := s.bound(); bound.Before(st.LookAt) {
+			st.LookAt = bound
+		}
+	}
+	return st
+}
--- a/shutdown/shutdown.go
+++ b/shutdown/shutdown.go
@@ -1,2 +1,74 @@
-// Package shutdown orders the steps of a graceful shutdown.
+// Package shutdown orders the steps of a graceful shutdown and bounds each of them.
 package shutdown
+
+import "time"
+
+// Phase is a step of the shutdown.
+type Phase uint8
+
+// The phases in their order.
+const (
+	Serving     Phase = iota
+	Announcing        // not ready any more, but still accepting for the platform's load balancer
+	HandingOver       // refusing new requests, giving up ownership
+	Draining          // waiting for the VM's own queries and orders
+	Ending            // waiting for own requests that were told to end
+	Closing           // closing connections and flushing
+	Stopped
+)
+
+var phaseNames = [...]string{"serving", "announcing", "handing-over", "draining", "ending", "closing", "stopped"}
+
+// String returns the phase's name.
+func (p Phase) String() string {
+	if int(p) >= len(phaseNames) {
+		return "unknown"
+	}
+	return phaseNames[p]
+}
+
+// Action is something that the VM does once.
+type Action uint8
+
+// The actions in their order.
+const (
+	ReadinessOff    Action = iota + 1
+	AnnounceLeaving        // set the leaving flag in heartbeats
+	StopPermits            // issue no new permits
+	RefuseNew              // refuse new requests as not run
+	HandOver               // return queued work as moved and hand over each upstream when its work has finished
+	HandOverNow            // hand over the upstreams left, with the count of their running work
+	EndOwn                 // answer own queries with what they have, and own orders as may have run
+	RevokePermits          // make unconsumed permits void
+	ClosePeers
+	Flush // traces and metrics
+	Exit
+)
+
+var actionNames = [...]string{
+	"none", "readiness-off", "announce-leaving", "stop-permits", "refuse-new", "hand-over",
+	"hand-over-now", "end-own", "revoke-permits", "close-peers", "flush", "exit",
+}
+
+// String returns the action's name.
+func (a Action) String() string {
+	if int(a) >= len(actionNames) {
+		return "unknown"
+	}
+	return actionNames[a]
+}
+
+// Inputs are what a VM still has to do.
+type Inputs struct {
+	Own       int  // queries and orders in flight that this VM accepted, or that use its permits
+	Running   int  // work at upstreams that this VM owns
+	Handovers int  // upstreams whose handover message is not sent yet
+	Flushed   bool // Flush is done
+}
+
+// Step is what to do now and when to look again.
+type Step struct {
+	Phase   Phase
+	Actions []Action
+	LookAt  time.Time // zero before the start and once stopped
+}
--- /dev/null
+++ b/shutdown/shutdown_test.go
@@ -0,0 +1,71 @@
+package shutdown_test
+
+import (
+	"fmt"
+	"regexp"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"pgregory.net/rapid"
+
+	"pistachioshore.dev/shutdown"
+)
+
+var start = time.Unix(1000, 0)
+
+// TestScripts guards the order of the actions and the bound of each phase.
+func TestScripts(t *testing.T) {
+	datadriven.RunTest(t, "testdata/shutdown.txt", func(_ *testing.T, d *datadriven.TestData) string {
+		m := shutdown.New(shutdown.Defaults())
+		m.Start(start)
+		m.Start(start.Add(time.Minute)) // must not begin again
+		return regexp.MustCompile(`[^;\n]+`).ReplaceAllStringFunc(d.Input, func(look string) string {
+			var ms int
+			var in shutdown.Inputs
+			fmt.Sscan(look, &ms, &in.Own, &in.Running, &in.Handovers, &in.Flushed)
+			now := start.Add(time.Duration(ms) * time.Millisecond)
+			st := m.Next(now, in)
+			return fmt.Sprint(" ", st.Phase, st.Actions, max(0, st.LookAt.Sub(now)))
+		})
+	})
+}
+
+// TestBounds guards against a shutdown beyond 8 s, an action out of order, twice or left out, and
+// against permits revoked or connections closed under requests that still have time.
+func TestBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		lag := time.Duration(rapid.IntRange(-1, 5).Draw(t, "lag")) * time.Second
+		m := shutdown.New(shutdown.Settings{BalancerLag: lag})
+		stuck := rapid.MapOf(rapid.SampledFrom([]string{"own", "running", "handovers", "flush"}), rapid.Just(1)).Draw(t, "stuck")
+		now := start
+		st := m.Start(now)
+		actions := st.Actions
+		for st.Phase != shutdown.Stopped {
+			if !st.LookAt.After(now) && len(st.Actions) == 0 {
+				t.Fatalf("got look at %v without an action, want a time after now", st.LookAt)
+			}
+			now = st.LookAt
+			work := func(name string) int { return max(stuck[name], rapid.IntRange(0, 1).Draw(t, name)) }
+			in := shutdown.Inputs{Own: work("own"), Running: work("running"), Handovers: work("handovers"), Flushed: work("flush") == 0}
+			st = m.Next(now, in)
+			actions = append(actions, st.Actions...)
+			if slices.Contains(st.Actions, shutdown.RefuseNew) && now.Sub(start) > shutdown.MaxBalancerLag {
+				t.Fatalf("got requests refused after %v, want at most %v", now.Sub(start), shutdown.MaxBalancerLag)
+			}
+			ends := slices.Contains(st.Actions, shutdown.RevokePermits) || slices.Contains(st.Actions, shutdown.EndOwn)
+			if ends && in.Own > 0 && now.Sub(start) < 7*time.Second {
+				t.Fatalf("got %v after %v with own requests, want to wait", st.Actions, now.Sub(start))
+			}
+		}
+		if got := now.Sub(start); got > 8*time.Second {
+			t.Errorf("got %v, want at most 8s", got)
+		}
+		optional := []shutdown.Action{shutdown.HandOverNow, shutdown.EndOwn}
+		certain := slices.DeleteFunc(slices.Clone(actions), func(a shutdown.Action) bool { return slices.Contains(optional, a) })
+		if !slices.IsSorted(actions) || len(slices.Compact(actions)) != len(actions) || len(certain) != 9 {
+			t.Errorf("got %v, want all actions in order and once", actions)
+		}
+	})
+}
