--- /dev/null
+++ b/cmd/pistachio-standin/config.go
@@ -0,0 +1,32 @@
+package main
+
+import (
+	"os"
+
+	"github.com/cockroachdb/errors"
+
+	"pistachioshore.dev/standin/sample"
+)
+
+// configCommand holds the flags of the default configuration.
+type configCommand struct {
+	Firm      string   `default:"armor" enum:"armor,hronec" help:"Firm: armor or hronec."`
+	BasePort  uint16   `default:"21000" help:"Port of the first upstream."`
+	Revision  uint64   `default:"1" help:"Revision of the configuration."`
+	Snapshots []uint64 `default:"1" help:"Snapshots, the last one current; from 3 on with repartitioned shards."`
+	ColdLimit int      `default:"0" help:"Cold-start limit of every group; by the slots if zero."`
+	ZonesOut  []string `help:"Availability zones marked as drained."`
+	Leaving   []string `help:"Upstreams marked as draining."`
+}
+
+// Run prints the configuration.
+func (c *configCommand) Run() error {
+	cfg, _ := sample.Config(c.Firm, c.BasePort, sample.WithRevision(c.Revision), sample.WithSnapshots(c.Snapshots...),
+		sample.WithColdLimit(c.ColdLimit), sample.WithZonesOut(c.ZonesOut...), sample.WithLeaving(c.Leaving...))
+	text, err := sample.YAML(cfg)
+	if err != nil {
+		return errors.Wrap(err, "encode configuration")
+	}
+	_, err = os.Stdout.Write(text)
+	return err
+}
--- /dev/null
+++ b/cmd/pistachio-standin/platform.go
@@ -0,0 +1,73 @@
+package main
+
+import (
+	"net/netip"
+	"os"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"pistachioshore.dev/standin"
+	"pistachioshore.dev/standin/platform"
+	"pistachioshore.dev/wire"
+)
+
+// platformCommand holds the settings of the platform's stand-in.
+type platformCommand struct {
+	Listen netip.AddrPort `required:"" help:"Address and port to listen on."`
+	File   string         `required:"" type:"existingfile" help:"Configuration file to publish; it is not checked, as the platform would not."`
+	VM     []vmEntry      `name:"vm" placeholder:"ADDRESS=ZONE" help:"Live VM of the list; can be repeated. PUT /v1/vms replaces the list."`
+}
+
+// Help describes what can be sent while the stand-in runs.
+func (c *platformCommand) Help() string {
+	return `Requests while it runs:
+  GET /v1/config?after=TAG&wait=SECONDS  published value, its tag in the header Revision
+  GET /v1/vms                            list of VMs
+  PUT /v1/config                         publish a value of at most 1 MiB
+  PUT /v1/vms                            {"revision":0,"vms":[{"address":"127.0.0.1:20901","zone":"brest-nord","state":"live"}]}
+  PUT /v1/faults                         {"down":"close"|"unavailable","stale-tag":1,"delay":"200ms","list-lag":"5s","list-frozen":true}
+An absent field of the faults means no fault, so {} ends them all.`
+}
+
+// Run serves until the process is told to stop.
+func (c *platformCommand) Run() error {
+	raw, err := os.ReadFile(c.File)
+	if err != nil {
+		return errors.Wrap(err, "read configuration")
+	}
+	p := platform.New(raw)
+	vms := make([]wire.VM, 0, len(c.VM))
+	for _, e := range c.VM {
+		vms = append(vms, wire.VM{Address: e.address, Zone: e.zone, State: "live"})
+	}
+	if err := p.SetVMs(vms); err != nil {
+		return err
+	}
+	s, err := standin.Serve(c.Listen, p)
+	if err != nil {
+		return err
+	}
+	untilSignal()
+	return s.Close()
+}
+
+// vmEntry is one VM in the form ADDRESS=ZONE.
+type vmEntry struct {
+	address netip.AddrPort
+	zone    string
+}
+
+// UnmarshalText reads the form ADDRESS=ZONE.
+func (e *vmEntry) UnmarshalText(text []byte) error {
+	address, zone, ok := strings.Cut(string(text), "=")
+	if !ok || zone == "" {
+		return errors.Newf("%q is not of the form ADDRESS=ZONE", text)
+	}
+	a, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return errors.Newf("%q is not an IP address with a port", address)
+	}
+	e.address, e.zone = a, zone
+	return nil
+}
--- /dev/null
+++ b/standin/log.go
@@ -0,0 +1,41 @@
+package standin
+
+// Log is a list with a length limit that counts what it could not hold; it is not safe for concurrent use.
+type Log[T any] struct {
+	limit   int
+	items   []T
+	dropped int
+}
+
+// NewLog returns a list of at most limit items.
+func NewLog[T any](limit int) *Log[T] {
+	return &Log[T]{limit: limit}
+}
+
+// Add appends an item and returns its index, or -1 if the list is full.
+func (l *Log[T]) Add(item T) int {
+	if len(l.items) >= l.limit {
+		l.dropped++
+		return -1
+	}
+	l.items = append(l.items, item)
+	return len(l.items) - 1
+}
+
+// At returns the item at an index that Add returned, or nil for -1.
+func (l *Log[T]) At(index int) *T {
+	if index < 0 {
+		return nil
+	}
+	return &l.items[index]
+}
+
+// Items returns a copy of the items in the order of their addition; it is never nil.
+func (l *Log[T]) Items() []T {
+	return append([]T{}, l.items...)
+}
+
+// Dropped returns the number of items that were not kept.
+func (l *Log[T]) Dropped() int {
+	return l.dropped
+}
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -7,32 +7,38 @@
 	"io"
 	"net/http"
 	"strconv"
-	"sync"
 	"time"
 
 	"pistachioshore.dev/codec"
+	"pistachioshore.dev/standin"
+	"pistachioshore.dev/table"
 	"pistachioshore.dev/wire"
 )
 
+// maxWait bounds the seconds that a watch may wait.
+const maxWait = 60
+
 // Platform holds published values and answers reads and watches.
 type Platform struct {
-	mux *http.ServeMux
-
-	mu      sync.Mutex
-	value   []byte
-	tag     int
-	changed chan struct{}
-	vms     wire.VMList
-	reads   int
+	opts  options
+	mux   *http.ServeMux
+	state *table.Guarded[state]
 }
 
 // New returns a platform that publishes a configuration.
-func New(value []byte) *Platform {
-	p := &Platform{mux: http.NewServeMux(), value: value, tag: 1, changed: make(chan struct{})}
-	p.mux.HandleFunc("GET /v1/config", p.getConfig)
+func New(value []byte, opts ...Option) *Platform {
+	p := &Platform{
+		opts: options{gate: func(*http.Request) bool { return true }}, mux: http.NewServeMux(),
+		state: table.NewGuarded(standin.RankPlatform, newState(time.Now(), value)),
+	}
+	for _, opt := range opts {
+		opt(&p.opts)
+	}
+	p.mux.HandleFunc("GET /v1/config", p.read(p.getConfig))
+	p.mux.HandleFunc("GET /v1/vms", p.read(p.getVMs))
 	p.mux.HandleFunc("PUT /v1/config", p.putConfig)
-	p.mux.HandleFunc("GET /v1/vms", p.getVMs)
 	p.mux.HandleFunc("PUT /v1/vms", p.putVMs)
+	p.mux.HandleFunc("PUT /v1/faults", p.putFaults)
 	return p
 }
 
@@ -41,91 +47,160 @@
 	p.mux.ServeHTTP(w, r)
 }
 
-// Publish replaces the configuration.
-func (p *Platform) Publish(value []byte) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.value = value
-	p.tag++
-	close(p.changed)
-	p.changed = make(chan struct{})
+// Publish replaces the configuration and returns the tag of the new version; the value may have at most 1 MiB.
+func (p *Platform) Publish(value []byte) (tag int, err error) {
+	p.state.With(func(s *state) { tag, err = s.publish(value) })
+	return tag, err
 }
 
 // SetVMs replaces the list of VMs.
-func (p *Platform) SetVMs(vms []wire.VM) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.vms.Revision++
-	p.vms.Vms = vms
+func (p *Platform) SetVMs(vms []wire.VM) error {
+	return table.Read(p.state, func(s *state) error { return s.setVMs(time.Now(), vms) })
+}
+
+// SetFaults replaces the faults; an error names the value that is out of range.
+func (p *Platform) SetFaults(f Faults) error {
+	return table.Read(p.state, func(s *state) error { return s.setFaults(time.Now(), f) })
 }
 
 // Reads returns the number of reads so far, a watch counted as one.
 func (p *Platform) Reads() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.reads
+	return table.Read(p.state, func(s *state) int { return s.reads })
 }
 
-func (p *Platform) getConfig(w http.ResponseWriter, r *http.Request) {
-	p.mu.Lock()
-	p.reads++
-	value, tag, changed := p.value, p.tag, p.changed
-	p.mu.Unlock()
-	if r.URL.Query().Get("after") == strconv.Itoa(tag) {
-		p.watch(w, r, changed)
-		return
+// read counts a read and applies the faults to it.
+func (p *Platform) read(answer http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		delay := time.Duration(0)
+		p.state.With(func(s *state) {
+			s.reads++
+			delay = s.faults.Delay
+		})
+		pause(r.Context(), delay)
+		if p.reachable(w, r) {
+			answer(w, r)
+		}
 	}
-	writeConfig(w, value, tag)
 }
 
-func (p *Platform) watch(w http.ResponseWriter, r *http.Request, changed <-chan struct{}) {
-	seconds, err := strconv.ParseFloat(r.URL.Query().Get("wait"), 64)
-	if err != nil || seconds < 0 || seconds > 60 {
-		http.Error(w, "wait must be 0 to 60 seconds", http.StatusBadRequest)
+// reachable reports whether the request may be answered now; otherwise it has ended it.
+func (p *Platform) reachable(w http.ResponseWriter, r *http.Request) bool {
+	down := table.Read(p.state, func(s *state) Down { return s.faults.Down })
+	if !p.opts.gate(r) || down == DownClose {
+		panic(http.ErrAbortHandler)
+	}
+	if down == DownUnavailable {
+		http.Error(w, "the platform is down", http.StatusServiceUnavailable)
+		return false
+	}
+	return true
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	if d == 0 {
 		return
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(seconds*float64(time.Second)))
-	defer cancel()
+	t := time.NewTimer(d)
+	defer t.Stop()
 	select {
+	case <-t.C:
 	case <-ctx.Done():
-		w.WriteHeader(http.StatusNotModified)
-	case <-changed:
-		p.mu.Lock()
-		value, tag := p.value, p.tag
-		p.mu.Unlock()
-		writeConfig(w, value, tag)
 	}
 }
 
-func writeConfig(w http.ResponseWriter, value []byte, tag int) {
-	w.Header().Set("Revision", strconv.Itoa(tag))
-	_, _ = w.Write(value)
+// getConfig answers with the visible version, or waits until it differs from the one that the reader has.
+func (p *Platform) getConfig(w http.ResponseWriter, r *http.Request) {
+	after := r.URL.Query().Get("after")
+	wait, err := waitTime(r.URL.Query().Get("wait"))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), wait)
+	defer cancel()
+	for {
+		var value []byte
+		var tag int
+		var changed <-chan struct{}
+		p.state.With(func(s *state) {
+			value, tag = s.visible()
+			changed = s.changed
+		})
+		if after != strconv.Itoa(tag) {
+			w.Header().Set("Revision", strconv.Itoa(tag))
+			_, _ = w.Write(value) // fails only if the reader has gone
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		}
+		if !p.reachable(w, r) {
+			return
+		}
+		if ctx.Err() != nil {
+			w.WriteHeader(http.StatusNotModified)
+			return
+		}
+	}
+}
+
+// waitTime reads the longest wait of a watch; none means not to wait.
+func waitTime(seconds string) (time.Duration, error) {
+	if seconds == "" {
+		return 0, nil
+	}
+	s, err := strconv.ParseFloat(seconds, 64)
+	if err != nil || !(s >= 0 && s <= maxWait) {
+		return 0, outOfRange("wait", seconds, 0, maxWait)
+	}
+	return time.Duration(s * float64(time.Second)), nil
+}
+
+func (p *Platform) getVMs(w http.ResponseWriter, _ *http.Request) {
+	list := table.Read(p.state, func(s *state) wire.VMList { return s.list(time.Now()) })
+	w.Header().Set("Revision", strconv.FormatUint(list.Revision, 10))
+	_ = json.NewEncoder(w).Encode(list) // fails only if the reader has gone
 }
 
 func (p *Platform) putConfig(w http.ResponseWriter, r *http.Request) {
-	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, codec.MaxConfigBytes))
+	value, err := io.ReadAll(io.LimitReader(r.Body, codec.MaxConfigBytes+1))
+	if err != nil {
+		http.Error(w, "the body could not be read", http.StatusBadRequest)
+		return
+	}
+	tag, err := p.Publish(value)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
 		return
 	}
-	p.Publish(value)
+	w.Header().Set("Revision", strconv.Itoa(tag))
 	w.WriteHeader(http.StatusNoContent)
 }
 
-func (p *Platform) getVMs(w http.ResponseWriter, _ *http.Request) {
-	p.mu.Lock()
-	p.reads++
-	list := p.vms
-	p.mu.Unlock()
-	_ = json.NewEncoder(w).Encode(list)
+func (p *Platform) putVMs(w http.ResponseWriter, r *http.Request) {
+	put(w, r, func(list wire.VMList) error { return p.SetVMs(list.Vms) })
 }
 
-func (p *Platform) putVMs(w http.ResponseWriter, r *http.Request) {
-	list, err := codec.DecodeJSON[wire.VMList](r.Body, codec.MaxConfigBytes)
+func (p *Platform) putFaults(w http.ResponseWriter, r *http.Request) {
+	put(w, r, func(req wire.PlatformFaults) error {
+		f, err := FaultsFromWire(req)
+		if err != nil {
+			return err
+		}
+		return p.SetFaults(f)
+	})
+}
+
+// put decodes a body strictly and sets it; a fault gets 400 with one line.
+func put[T any](w http.ResponseWriter, r *http.Request, set func(T) error) {
+	v, err := codec.DecodeJSON[T](r.Body, codec.MaxConfigBytes)
+	if err == nil {
+		err = set(v)
+	}
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	p.SetVMs(list.Vms)
 	w.WriteHeader(http.StatusNoContent)
 }
--- /dev/null
+++ b/standin/sample/goods.go
@@ -0,0 +1,71 @@
+package sample
+
+import "pistachioshore.dev/record"
+
+// goods lists what records of one kind describe.
+type goods struct {
+	models    []string
+	attribute string // name of the detail in schema 2
+	details   []string
+}
+
+var (
+	chairParts = goods{
+		models:    []string{"hydraulic pump HP-220", "hydraulic pump HP-340", "foot pedal FP-12", "upholstery kit UK-7", "gas cylinder GC-90", "base plate BP-4"},
+		attribute: "fits",
+		details:   []string{"chair Lutece 3", "chair Armen 2", "shampoo unit Odet", "barber chair Kador"},
+	}
+	chairJobs = goods{
+		models:    []string{"replace cylinder GC-90", "refit hydraulic pump HP-220", "renew upholstery kit UK-7", "adjust foot pedal FP-12"},
+		attribute: "salon",
+		details:   []string{"Quimper centre", "Brest Siam", "Angers Ralliement", "Cherbourg quai"},
+	}
+	reminders = goods{
+		models:    []string{"yearly check of hydraulic pump", "invoice reminder", "warranty ends"},
+		attribute: "client",
+		details:   []string{"Salon Bleuenn", "Coiffure Le Goff", "Barbier du port"},
+	}
+	prismBatches = goods{
+		models:    []string{"lens blank LB-40", "lens blank LB-65", "roof prism RP-30", "penta prism PP-25", "pitch lap L-110"},
+		attribute: "glass",
+		details:   []string{"N-BK7", "N-SF11", "fused silica", "CaF2"},
+	}
+	prismJobs = goods{
+		models:    []string{"polish roof prism RP-30", "coat penta prism PP-25", "centre lens blank LB-40"},
+		attribute: "customer",
+		details:   []string{"Brno observatory", "Kosice metrology", "Zilina optics school"},
+	}
+	rejectMarks = goods{
+		models:    []string{"scratch 40-20 on roof prism RP-30", "edge chip on lens blank LB-65", "coating void on penta prism PP-25"},
+		attribute: "sister piece",
+		details:   []string{"batch 1107 piece 3", "batch 1107 piece 9", "batch 1212 piece 1"},
+	}
+	certificates = goods{
+		models:    []string{"certificate of flatness", "certificate of angle", "certificate of coating"},
+		attribute: "piece",
+		details:   []string{"roof prism RP-30", "penta prism PP-25", "lens blank LB-40"},
+	}
+)
+
+// goodsOf returns what the n-th record of a key range of a group is.
+func goodsOf(group string, n int) (record.Kind, goods) {
+	switch group {
+	case "tournees", "suivi-chantier":
+		return record.KindJob, chairJobs
+	case "relances-clients":
+		return record.KindJob, reminders
+	case "order-desk":
+		return record.KindJob, prismJobs
+	case "cert-archive":
+		return record.KindPart, certificates
+	case "pitch-stock":
+		return record.KindBatch, prismBatches
+	case "workshop-ledger":
+		if n%4 == 0 {
+			return record.KindMark, rejectMarks
+		}
+		return record.KindBatch, prismBatches
+	default:
+		return record.KindPart, chairParts
+	}
+}
--- a/standin/sample/records.go
+++ b/standin/sample/records.go
@@ -3,55 +3,123 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strconv"
+	"strings"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"pistachioshore.dev/catalog"
 	"pistachioshore.dev/record"
+	"pistachioshore.dev/standin/upstream"
 )
 
-// recordsPerShard is the number of records that each shard of the sample holds.
-const recordsPerShard = 40
-
-var models = []string{"hydraulic pump", "pedal", "upholstery kit", "cylinder", "roof prism", "lens blank", "penta prism", "pitch lap"}
-
-// Records returns the records of one shard in one snapshot; equal arguments give equal records.
-func Records(shard, from, group string, snapshot uint64) []record.Record {
-	r := rand.New(rand.NewPCG(xxhash.Sum64String(shard), snapshot))
-	epoch := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
-	out := make([]record.Record, 0, recordsPerShard)
-	for n := range recordsPerShard {
-		rec := record.Record{
-			Schema:   1 + n%2,
-			Kind:     kindOf(group, n),
-			Key:      fmt.Sprintf("%s%04d", from[:len(from)-4], n),
-			Updated:  epoch.Add(time.Duration(snapshot)*24*time.Hour + time.Duration(n)*time.Minute),
-			Quantity: r.IntN(50),
-		}
-		model := models[r.IntN(len(models))]
-		if rec.Schema == 1 {
-			rec.Description = fmt.Sprintf("%s, snapshot %d", model, snapshot)
-		} else {
-			rec.Model = model
-			rec.Attributes = []record.Attribute{{Name: "snapshot", Value: fmt.Sprint(snapshot)}}
+// recordsPerRange is the number of records of each key range of the layout first.
+const recordsPerRange = 40
+
+// maxRanges is the number of key ranges that a group can have, as Key writes it with three digits.
+const maxRanges = 1000
+
+// snapshotAttribute names the attribute, or the word before the number in a description, that tells
+// which snapshot a record comes from.
+const snapshotAttribute = "snapshot"
+
+// epoch is the update time of the first record of snapshot 0.
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// Records returns the records of a shard in a snapshot, in key order; equal arguments give equal
+// records, and two layouts of one snapshot hold the same records in all.
+func Records(shard catalog.Shard, snapshot uint64) []record.Record {
+	var out []record.Record
+	for number := rangeNumber(shard.From); number < maxRanges && Key(shard.Group, number, 0) < shard.To; number++ {
+		for _, r := range rangeRecords(shard.Group, number, snapshot) {
+			if r.Key >= shard.From && r.Key < shard.To {
+				out = append(out, r)
+			}
 		}
-		out = append(out, rec)
 	}
 	return out
 }
 
-func kindOf(group string, n int) record.Kind {
-	switch group {
-	case "tournees", "suivi-chantier", "order-desk":
-		return record.KindJob
-	case "workshop-ledger":
-		if n%4 == 0 {
-			return record.KindMark
+// Loader returns the records that an upstream of a service holds: a shard is known there only in the
+// snapshots whose layout places it on the service.
+func Loader(cfg *catalog.Config, service string) upstream.Loader {
+	type place struct {
+		shard    string
+		snapshot uint64
+	}
+	held := map[place]func() []record.Record{}
+	groups := make([]string, 0, len(cfg.Groups))
+	for _, g := range cfg.Groups {
+		groups = append(groups, g.Name)
+	}
+	for _, snap := range cfg.Snapshots {
+		shards, _ := cfg.Shards(snap.Version, groups)
+		for _, s := range shards {
+			if s.Service == service {
+				held[place{s.Name, snap.Version}] = sync.OnceValue(func() []record.Record { return Records(s, snap.Version) })
+			}
+		}
+	}
+	return func(shard string, snapshot uint64) ([]record.Record, bool) {
+		records, ok := held[place{shard, snapshot}]
+		if !ok {
+			return nil, false
+		}
+		return records(), true
+	}
+}
+
+// SnapshotOf returns the snapshot that a sample record says it comes from.
+func SnapshotOf(r record.Record) (uint64, bool) {
+	text := ""
+	if _, after, ok := strings.Cut(r.Description, snapshotAttribute+" "); ok {
+		text = after
+	}
+	for _, a := range r.Attributes {
+		if a.Name == snapshotAttribute {
+			text = a.Value
 		}
-		return record.KindBatch
-	case "pitch-stock":
-		return record.KindBatch
-	default:
-		return record.KindPart
 	}
+	version, err := strconv.ParseUint(text, 10, 64)
+	return version, err == nil
+}
+
+func rangeNumber(key string) int {
+	parts := strings.Split(key, "/")
+	if len(parts) < 2 {
+		return 0
+	}
+	n, _ := strconv.Atoi(parts[1]) // keys of the sample have a number here
+	return n
+}
+
+func rangeRecords(group string, number int, snapshot uint64) []record.Record {
+	r := rand.New(rand.NewPCG(xxhash.Sum64String(Key(group, number, 0)), snapshot))
+	out := make([]record.Record, 0, recordsPerRange)
+	for n := range recordsPerRange {
+		out = append(out, makeRecord(r, group, number, n, snapshot))
+	}
+	return out
+}
+
+func makeRecord(r *rand.Rand, group string, number, n int, snapshot uint64) record.Record {
+	kind, stock := goodsOf(group, n)
+	rec := record.Record{
+		Schema: 1 + n%2, Kind: kind, Key: Key(group, number, n), Quantity: r.IntN(50),
+		Updated: epoch.Add(time.Duration(snapshot)*24*time.Hour + time.Duration(n)*time.Minute),
+	}
+	model := stock.models[r.IntN(len(stock.models))]
+	detail := stock.details[r.IntN(len(stock.details))]
+	if rec.Schema == 1 {
+		rec.Description = fmt.Sprintf("%s, %s, %s %d", model, detail, snapshotAttribute, snapshot)
+		return rec
+	}
+	rec.Model = model
+	rec.Attributes = []record.Attribute{
+		{Name: stock.attribute, Value: detail},
+		{Name: snapshotAttribute, Value: strconv.FormatUint(snapshot, 10)},
+	}
+	return rec
 }
--- a/standin/sample/sample.go
+++ b/standin/sample/sample.go
@@ -4,86 +4,21 @@
 import (
 	"fmt"
 	"net/netip"
-	"time"
+	"slices"
 
 	"github.com/goccy/go-yaml"
 
 	"pistachioshore.dev/wire"
 )
 
-// shape describes the services of one group.
-type shape struct {
-	group       string
-	services    int
-	servers     int
-	slots       int
-	connections int
-	connect     time.Duration
-}
-
-// firm describes one firm's tier.
-type firm struct {
-	zones  []string
-	shapes []shape
-	routes []wire.RouteSettings
-}
+// RepartitionedFrom is the first snapshot that uses the layout second.
+const RepartitionedFrom = 3
 
-var firms = map[string]firm{
-	"armor": {
-		zones: []string{"brest-nord", "angers-est", "cherbourg-sud"},
-		shapes: []shape{
-			{"chiffrage", 20, 2, 3, 30, 6 * time.Millisecond},
-			{"tournees", 30, 2, 3, 30, 6 * time.Millisecond},
-			{"suivi-chantier", 1, 9, 6, 100, time.Millisecond},
-			{"relances-clients", 1, 4, 6, 100, time.Millisecond},
-		},
-		routes: []wire.RouteSettings{
-			{
-				Name: "breakdown-lookup", Class: "urgent", Groups: []string{"chiffrage", "tournees"}, Idempotent: true,
-				Deadline: "400ms", MinimumCoverage: 0.9, StragglerWait: "80ms", HedgeBudget: 0.05, RetryBudget: 0.1,
-			},
-			{
-				Name: "job-lookup", Class: "normal", Groups: []string{"tournees", "suivi-chantier"}, Idempotent: true,
-				Deadline: "600ms", MinimumCoverage: 0.9, StragglerWait: "200ms", HedgeBudget: 0.05, RetryBudget: 0.1,
-			},
-			{
-				Name: "client-reminder", Class: "background", Groups: []string{"relances-clients"}, Idempotent: true,
-				Deadline: "1s", MinimumCoverage: 1, StragglerWait: "1s", HedgeBudget: 0.02, RetryBudget: 0.1,
-			},
-			{
-				Name: "pump-order", Class: "urgent", Groups: []string{"suivi-chantier"}, Idempotent: false,
-				Deadline: "2s", MinimumCoverage: 1, StragglerWait: "2s", HedgeBudget: 0, RetryBudget: 0.1,
-			},
-		},
-	},
-	"hronec": {
-		zones: []string{"banska-hall", "zilina-coat", "kosice-office"},
-		shapes: []shape{
-			{"workshop-ledger", 20, 2, 2, 25, 6 * time.Millisecond},
-			{"order-desk", 30, 2, 2, 25, 6 * time.Millisecond},
-			{"cert-archive", 1, 9, 3, 40, time.Millisecond},
-			{"pitch-stock", 1, 4, 3, 40, time.Millisecond},
-		},
-		routes: []wire.RouteSettings{
-			{
-				Name: "reject-check", Class: "urgent", Groups: []string{"workshop-ledger"}, Idempotent: true,
-				Deadline: "800ms", MinimumCoverage: 1, StragglerWait: "800ms", HedgeBudget: 0.05, RetryBudget: 0.1,
-			},
-			{
-				Name: "lens-blank-lookup", Class: "normal", Groups: []string{"workshop-ledger", "order-desk"}, Idempotent: true,
-				Deadline: "800ms", MinimumCoverage: 0.95, StragglerWait: "400ms", HedgeBudget: 0.05, RetryBudget: 0.1,
-			},
-			{
-				Name: "stock-lookup", Class: "background", Groups: []string{"pitch-stock"}, Idempotent: true,
-				Deadline: "1s", MinimumCoverage: 1, StragglerWait: "1s", HedgeBudget: 0.02, RetryBudget: 0.1,
-			},
-			{
-				Name: "certificate-reprint", Class: "normal", Groups: []string{"cert-archive"}, Idempotent: false,
-				Deadline: "2s", MinimumCoverage: 1, StragglerWait: "2s", HedgeBudget: 0, RetryBudget: 0.1,
-			},
-		},
-	},
-}
+// Cold-start limits by the slots of a server.
+const (
+	smallColdLimit = 1 // up to 3 slots
+	largeColdLimit = 2
+)
 
 // Firms lists the firms that have a default configuration.
 func Firms() []string {
@@ -91,49 +26,126 @@
 }
 
 // Config returns a firm's default configuration; its upstreams listen on loopback from basePort on.
-func Config(name string, basePort uint16) (wire.Configuration, bool) {
+func Config(name string, basePort uint16, opts ...Option) (wire.Configuration, bool) {
 	f, ok := firms[name]
 	if !ok {
 		return wire.Configuration{}, false
 	}
-	cfg := wire.Configuration{Format: 1, Revision: 1, Firm: name, CurrentSnapshot: 1, Routes: f.routes}
-	for _, z := range f.zones {
-		cfg.Zones = append(cfg.Zones, wire.ZoneSettings{Name: z, State: "in"})
+	o := options{revision: 1, snapshots: []uint64{1}, current: 1}
+	o.address = func(_ string, number int) netip.AddrPort {
+		return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), basePort+uint16(number))
 	}
-	layout := wire.LayoutSettings{Name: "first"}
-	port := basePort
-	for _, s := range f.shapes {
-		g, shards := s.build(f.zones, &port)
-		cfg.Groups = append(cfg.Groups, g)
-		layout.Shards = append(layout.Shards, shards...)
+	for _, opt := range opts {
+		opt(&o)
 	}
-	cfg.Layouts = []wire.LayoutSettings{layout}
-	cfg.Snapshots = []wire.SnapshotSettings{{Version: 1, Layout: "first"}}
-	return cfg, true
+	return builder{firm: f, opts: o}.build(name), true
 }
 
-// build spreads the servers of each service over the zones in turn.
-func (s shape) build(zones []string, port *uint16) (wire.GroupSettings, []wire.ShardSettings) {
+// builder makes one configuration.
+type builder struct {
+	firm    firm
+	opts    options
+	servers int
+}
+
+func (b builder) build(name string) wire.Configuration {
+	cfg := wire.Configuration{
+		Format: 1, Revision: b.opts.revision, Firm: name, CurrentSnapshot: b.opts.current, Routes: b.firm.routes,
+	}
+	for _, z := range b.firm.zones {
+		state := "in"
+		if slices.Contains(b.opts.zonesOut, z) {
+			state = "out"
+		}
+		cfg.Zones = append(cfg.Zones, wire.ZoneSettings{Name: z, State: state})
+	}
+	first := wire.LayoutSettings{Name: "first"}
+	second := wire.LayoutSettings{Name: "second"}
+	for _, s := range b.firm.shapes {
+		cfg.Groups = append(cfg.Groups, b.group(s))
+		first.Shards = append(first.Shards, s.shards()...)
+		second.Shards = append(second.Shards, repartition(s.shards())...)
+	}
+	cfg.Layouts = []wire.LayoutSettings{first}
+	for _, version := range b.opts.snapshots {
+		l := "first"
+		if version >= RepartitionedFrom {
+			l = "second"
+		}
+		cfg.Snapshots = append(cfg.Snapshots, wire.SnapshotSettings{Version: version, Layout: l})
+	}
+	if slices.Max(b.opts.snapshots) >= RepartitionedFrom {
+		cfg.Layouts = append(cfg.Layouts, second)
+	}
+	return cfg
+}
+
+// group spreads the servers of each service over the zones in turn.
+func (b *builder) group(s shape) wire.GroupSettings {
 	g := wire.GroupSettings{
-		Name: s.group, Slots: s.slots, Connections: s.connections, ColdLimit: 1, WarmAfter: 8, ConnectTime: s.connect.String(),
+		Name: s.group, Slots: s.slots, Connections: s.connections, WarmAfter: 8, ConnectTime: s.connect.String(),
+		ColdLimit: smallColdLimit,
+	}
+	if s.slots > 3 {
+		g.ColdLimit = largeColdLimit
+	}
+	if b.opts.coldLimit > 0 {
+		g.ColdLimit = b.opts.coldLimit
 	}
-	var shards []wire.ShardSettings
 	for i := range s.services {
-		svc := wire.ServiceSettings{Name: fmt.Sprintf("%s-%02d", s.group, i+1)}
+		svc := wire.ServiceSettings{Name: s.service(i)}
 		for j := range s.servers {
-			svc.Servers = append(svc.Servers, wire.ServerSettings{
-				Name:    fmt.Sprintf("%s-%c", svc.Name, 'a'+j),
-				Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), *port).String(),
-				Zone:    zones[(i+j)%len(zones)],
-			})
-			*port++
+			svc.Servers = append(svc.Servers, b.server(svc.Name, i, j))
 		}
 		g.Services = append(g.Services, svc)
+	}
+	return g
+}
+
+func (b *builder) server(service string, i, j int) wire.ServerSettings {
+	name := fmt.Sprintf("%s-%c", service, 'a'+j)
+	s := wire.ServerSettings{
+		Name: name, Zone: b.firm.zones[(i+j)%len(b.firm.zones)],
+		Address: b.opts.address(name, b.servers).String(), Leaving: slices.Contains(b.opts.leaving, name),
+	}
+	b.servers++
+	return s
+}
+
+func (s shape) service(i int) string {
+	return fmt.Sprintf("%s-%02d", s.group, i+1)
+}
+
+// shards returns one key range for each service.
+func (s shape) shards() []wire.ShardSettings {
+	var shards []wire.ShardSettings
+	for i := range s.services {
 		shards = append(shards, wire.ShardSettings{
-			Name: svc.Name, Group: s.group, Service: svc.Name, From: Key(s.group, i, 0), To: Key(s.group, i+1, 0),
+			Name: s.service(i), Group: s.group, Service: s.service(i), From: Key(s.group, i, 0), To: Key(s.group, i+1, 0),
 		})
 	}
-	return g, shards
+	return shards
+}
+
+// repartition moves the second of every five key ranges to the next service and splits the fourth
+// one, whose upper half goes to the next service too.
+func repartition(shards []wire.ShardSettings) []wire.ShardSettings {
+	var out []wire.ShardSettings
+	for i, s := range shards {
+		next := shards[(i+1)%len(shards)].Service
+		switch i % 5 {
+		case 1:
+			s.Service = next
+		case 3:
+			upper := s
+			upper.Name, upper.Service, upper.From = s.Name+"-upper", next, Key(s.Group, i, recordsPerRange/2)
+			s.To = upper.From
+			out = append(out, s)
+			s = upper
+		}
+		out = append(out, s)
+	}
+	return out
 }
 
 // Key returns the key of a record: its group, the number of its range and its place in it.
--- a/standin/standin.go
+++ b/standin/standin.go
@@ -9,6 +9,18 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"pistachioshore.dev/table"
+)
+
+// The lock ranks of the stand-ins; a stand-in holds at most one lock of each rank at a time.
+const (
+	RankSet      table.Rank = 200
+	RankPlatform table.Rank = 210
+	RankUpstream table.Rank = 220
+	RankEndpoint table.Rank = 230
+	RankRelay    table.Rank = 240
+	RankPort     table.Rank = 250
 )
 
 // Handler is a stand-in that can be served.
--- /dev/null
+++ b/standin/upstream/set.go
@@ -0,0 +1,157 @@
+package upstream
+
+import (
+	"cmp"
+
+	"github.com/cockroachdb/errors"
+
+	"pistachioshore.dev/catalog"
+	"pistachioshore.dev/standin"
+	"pistachioshore.dev/table"
+)
+
+// Set is several upstreams of one configuration in one process.
+type Set struct {
+	opts   options
+	state  *table.Guarded[setState]
+	byName map[string]*Upstream
+	all    []*Upstream // in the order of the configuration
+}
+
+type setState struct {
+	cfg *catalog.Config
+}
+
+// ServeAll serves the upstreams of a configuration; if one cannot listen, it closes the others.
+func ServeAll(cfg *catalog.Config, opts ...Option) (*Set, error) {
+	s := &Set{opts: defaultOptions(), byName: map[string]*Upstream{}}
+	for _, opt := range opts {
+		opt(&s.opts)
+	}
+	s.state = table.NewGuarded(standin.RankSet, setState{cfg})
+	for i := range cfg.Groups {
+		g := &cfg.Groups[i]
+		for _, svc := range g.Services {
+			if err := s.serveService(cfg, g, svc); err != nil {
+				s.Close()
+				return nil, err
+			}
+		}
+	}
+	return s, nil
+}
+
+func (s *Set) serveService(cfg *catalog.Config, g *catalog.Group, svc catalog.Service) error {
+	for _, server := range svc.Servers {
+		if s.opts.zone != "" && server.Zone != s.opts.zone {
+			continue
+		}
+		u := New(ForServer(s.opts.base, g, server), s.opts.loader(cfg, svc.Name), s.opts.listen(server))
+		if err := u.Open(); err != nil {
+			return errors.Wrapf(err, "upstream %s", server.Name)
+		}
+		s.byName[server.Name] = u
+		s.all = append(s.all, u)
+	}
+	return nil
+}
+
+// Upstream returns the upstream of that name.
+func (s *Set) Upstream(name string) (*Upstream, bool) {
+	u, ok := s.byName[name]
+	return u, ok
+}
+
+// All returns the upstreams in the order of the configuration.
+func (s *Set) All() []*Upstream {
+	return s.all
+}
+
+// Update takes over the records of a later configuration; the upstreams stay the same.
+func (s *Set) Update(cfg *catalog.Config) {
+	s.state.With(func(st *setState) { st.cfg = cfg })
+	for _, u := range s.all {
+		if server, ok := cfg.Server(u.Name()); ok {
+			u.SetLoader(s.opts.loader(cfg, server.Service))
+		}
+	}
+}
+
+// Selection names a subset of upstreams; empty fields select all.
+type Selection struct {
+	Upstream string
+	Service  string
+	Group    string
+	Zone     string
+}
+
+// Select returns the upstreams of a selection.
+func (s *Set) Select(sel Selection) []*Upstream {
+	cfg := table.Read(s.state, func(st *setState) *catalog.Config { return st.cfg })
+	var selected []*Upstream
+	for _, u := range s.all {
+		server, ok := cfg.Server(u.Name())
+		if ok && sel.matches(server) {
+			selected = append(selected, u)
+		}
+	}
+	return selected
+}
+
+func (sel Selection) matches(server *catalog.Server) bool {
+	return cmp.Or(sel.Upstream, server.Name) == server.Name &&
+		cmp.Or(sel.Service, server.Service) == server.Service &&
+		cmp.Or(sel.Group, server.Group) == server.Group &&
+		cmp.Or(sel.Zone, server.Zone) == server.Zone
+}
+
+// Counts returns the counts of every upstream.
+func (s *Set) Counts() []Counts {
+	counts := make([]Counts, 0, len(s.all))
+	for _, u := range s.all {
+		counts = append(counts, u.Counts())
+	}
+	return counts
+}
+
+// Totals sums the counts of several upstreams; the maxima are the highest of one upstream.
+type Totals struct {
+	Started              int
+	Effects              int
+	Crashes              int
+	ColdOverloads        int
+	ConnectionsOverLimit int
+	StartsAfterDrain     int
+	StartsAfterZoneOut   int
+	RunningMaximum       int
+	ColdRunningMaximum   int
+	ConnectionsMaximum   int
+	Dropped              int
+}
+
+// Totals returns the totals over every upstream.
+func (s *Set) Totals() Totals {
+	var t Totals
+	for _, u := range s.all {
+		c := u.Counts()
+		t.Started += c.Started
+		t.Effects += len(c.Effects)
+		t.Crashes += len(c.Crashes)
+		t.ColdOverloads += c.ColdOverloads
+		t.ConnectionsOverLimit += c.ConnectionsOverLimit
+		t.StartsAfterDrain += c.StartsAfterDrain
+		t.StartsAfterZoneOut += c.StartsAfterZoneOut
+		t.RunningMaximum = max(t.RunningMaximum, c.RunningMaximum)
+		t.ColdRunningMaximum = max(t.ColdRunningMaximum, c.ColdRunningMaximum)
+		t.ConnectionsMaximum = max(t.ConnectionsMaximum, c.ConnectionsMaximum)
+		t.Dropped += c.Dropped
+	}
+	return t
+}
+
+// Close ends every upstream.
+func (s *Set) Close() {
+	for _, u := range s.all {
+		u.Close()
+	}
+}
--- a/standin/upstream/upstream.go
+++ b/standin/upstream/upstream.go
@@ -1,140 +1,176 @@
-// Package upstream is the stand-in for one upstream: a replica that searches its shards.
+// Package upstream is the stand-in for one upstream: a replica that searches its shards and executes orders.
 package upstream
 
 import (
-	"encoding/json"
+	"net"
 	"net/http"
-	"strconv"
+	"net/netip"
 	"sync"
 	"time"
 
-	"pistachioshore.dev/codec"
-	"pistachioshore.dev/record"
+	"pistachioshore.dev/standin"
+	"pistachioshore.dev/table"
 	"pistachioshore.dev/wire"
 )
 
-// Loader returns the records of a shard in a snapshot; false means that the shard is unknown.
-type Loader func(shard string, snapshot uint64) ([]record.Record, bool)
+// Counts is what an upstream has counted since it began.
+type Counts = wire.UpstreamCounts
 
-// Settings describe one upstream.
-type Settings struct {
-	Name        string
-	Incarnation string
-	Slots       int
-	ServiceTime time.Duration
-}
-
-// Upstream answers searches and executions, and counts each start.
+// Upstream answers searches and executions, and counts each start before any of its work is done.
 type Upstream struct {
-	settings Settings
-	load     Loader
 	mux      *http.ServeMux
-	slots    chan struct{}
-
-	mu     sync.Mutex
-	starts map[start]int
-}
+	state    *table.Guarded[state]
+	data     *table.Guarded[Loader]
+	endpoint *endpoint
+	settings Settings
+	address  netip.AddrPort
 
-type start struct {
-	request string
-	attempt int
+	restarts sync.WaitGroup
+	done     chan struct{}
+	closing  sync.Once
 }
 
-// New returns an upstream.
-func New(s Settings, load Loader) *Upstream {
-	u := &Upstream{settings: s, load: load, mux: http.NewServeMux(), slots: make(chan struct{}, s.Slots), starts: map[start]int{}}
+// New returns an upstream that accepts no connections yet.
+func New(s Settings, load Loader, listen standin.Listen) *Upstream {
+	now := time.Now()
+	s = s.withDefaults(now)
+	u := &Upstream{
+		mux: http.NewServeMux(), settings: s, done: make(chan struct{}),
+		state: table.NewGuarded(standin.RankUpstream, newState(now, s)),
+		data:  table.NewGuarded(standin.RankUpstream, load),
+	}
+	u.endpoint = newEndpoint(listen, u, s.Connections, s.ConnectTime)
 	u.mux.HandleFunc("POST /v1/search", u.search)
 	u.mux.HandleFunc("POST /v1/execute", u.execute)
+	u.mux.HandleFunc("DELETE /v1/requests/{id...}", u.cancel)
+	u.mux.HandleFunc("GET /v1/health", u.health)
+	u.mux.HandleFunc("GET /v1/load", u.load)
 	u.mux.HandleFunc("GET /v1/starts", u.listStarts)
+	u.mux.HandleFunc("PUT /v1/faults", u.putFaults)
 	return u
 }
 
-// ServeHTTP answers one request.
-func (u *Upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	w.Header().Set("Incarnation", u.settings.Incarnation)
-	u.mux.ServeHTTP(w, r)
-}
-
-// run waits for a slot and runs work unless the deadline has passed before the start.
-func (u *Upstream) run(w http.ResponseWriter, r *http.Request, work func()) {
-	deadline, err := time.Parse(time.RFC3339Nano, r.Header.Get("Deadline"))
+// Open starts to accept connections.
+func (u *Upstream) Open() error {
+	address, err := u.endpoint.open()
 	if err != nil {
-		http.Error(w, "the Deadline header is not a time", http.StatusBadRequest)
-		return
+		return err
 	}
-	timer := time.NewTimer(time.Until(deadline))
-	defer timer.Stop()
-	select {
-	case u.slots <- struct{}{}:
-		defer func() { <-u.slots }()
-	case <-timer.C:
-		w.WriteHeader(http.StatusRequestTimeout)
-		return
-	case <-r.Context().Done():
-		return
-	}
-	if !time.Now().Before(deadline) {
-		w.WriteHeader(http.StatusRequestTimeout)
-		return
-	}
-	u.countStart(r)
-	service := time.NewTimer(u.settings.ServiceTime)
-	defer service.Stop()
-	select {
-	case <-service.C:
-		work()
-	case <-r.Context().Done():
+	if tcp, ok := address.(*net.TCPAddr); ok {
+		u.address = tcp.AddrPort()
 	}
+	return nil
 }
 
-func (u *Upstream) countStart(r *http.Request) {
-	attempt, _ := strconv.Atoi(r.Header.Get("Attempt"))
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.starts[start{r.Header.Get("Request-Id"), attempt}]++
+// Address returns the address that Open listens on.
+func (u *Upstream) Address() netip.AddrPort {
+	return u.address
 }
 
-func (u *Upstream) search(w http.ResponseWriter, r *http.Request) {
-	req, err := codec.DecodeJSON[wire.SearchRequest](r.Body, 1<<16)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	records, ok := u.load(req.Shard, req.Snapshot)
-	if !ok {
-		w.WriteHeader(http.StatusConflict)
-		return
-	}
-	u.run(w, r, func() {
-		selected, matched := record.Select(records, codec.FromWireFilter(&req.Filter), req.Limit)
-		_ = json.NewEncoder(w).Encode(wire.SearchResponse{
-			Snapshot: req.Snapshot, Records: codec.ToWireRecords(selected), Matched: matched,
-		})
+// Name returns the upstream's name.
+func (u *Upstream) Name() string {
+	return u.settings.Name
+}
+
+// Zone returns the upstream's availability zone.
+func (u *Upstream) Zone() string {
+	return u.settings.Zone
+}
+
+// Close ends every request and connection.
+func (u *Upstream) Close() {
+	u.closing.Do(func() { close(u.done) })
+	u.state.With(func(s *state) {
+		s.closed = true
+		s.stop(time.Now())
 	})
+	u.restarts.Wait()
+	u.endpoint.close()
 }
 
-func (u *Upstream) execute(w http.ResponseWriter, r *http.Request) {
-	req, err := codec.DecodeJSON[wire.ExecuteRequest](r.Body, 1<<16)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
+// SetLoader replaces the records.
+func (u *Upstream) SetLoader(load Loader) {
+	u.data.With(func(l *Loader) { *l = load })
+}
+
+// SetFaults replaces the faults; an error names the value that is out of range.
+func (u *Upstream) SetFaults(f Faults) error {
+	if err := f.Check(); err != nil {
+		return err
 	}
-	u.run(w, r, func() {
-		_ = json.NewEncoder(w).Encode(wire.ExecuteResponse{Receipt: u.settings.Name + "/" + req.Key + "/" + r.Header.Get("Request-Id")})
+	var before Faults
+	down := false
+	u.state.With(func(s *state) {
+		before, down = s.faults, s.down
+		s.setFaults(time.Now(), f)
 	})
+	switch {
+	case f.Unreachable && !before.Unreachable:
+		u.endpoint.refuse()
+	case !f.Unreachable && before.Unreachable && !down:
+		u.endpoint.reopen()
+	}
+	return nil
+}
+
+// Faults returns the faults set now.
+func (u *Upstream) Faults() Faults {
+	return table.Read(u.state, func(s *state) Faults { return s.faults })
+}
+
+// Silence makes the present connections neither deliver nor close, for good; new connections work.
+func (u *Upstream) Silence() {
+	u.endpoint.silence()
 }
 
-// Starts returns the counted starts.
-func (u *Upstream) Starts() []wire.StartCount {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	out := make([]wire.StartCount, 0, len(u.starts))
-	for s, n := range u.starts {
-		out = append(out, wire.StartCount{Upstream: u.settings.Name, Request: s.request, Attempt: s.attempt, Starts: n})
+// Restart ends everything without warning; the upstream comes back cold with a new incarnation.
+func (u *Upstream) Restart() {
+	u.with(func(s *state, now time.Time) {
+		if !s.down {
+			s.crash(now, wire.Crash{At: now, Cause: "restart"})
+		}
+	})
+}
+
+// Counts returns a copy of everything counted so far.
+func (u *Upstream) Counts() Counts {
+	c := table.Read(u.state, func(s *state) Counts { return s.snapshotCounts() })
+	c.Connections, c.ConnectionsMaximum, c.ConnectionsOverLimit = u.endpoint.counts()
+	return c
+}
+
+// with runs fn under the lock and carries out a crash that it caused.
+func (u *Upstream) with(fn func(s *state, now time.Time)) {
+	var refused chan struct{}
+	u.state.With(func(s *state) {
+		fn(s, time.Now())
+		if s.fell {
+			s.fell = false
+			refused = make(chan struct{})
+			u.restarts.Go(func() { u.restart(refused) })
+		}
+	})
+	if refused != nil {
+		<-refused
 	}
-	return out
 }
 
-func (u *Upstream) listStarts(w http.ResponseWriter, _ *http.Request) {
-	_ = json.NewEncoder(w).Encode(wire.StartCounts{Items: u.Starts()})
+// restart refuses connections for the restart time.
+func (u *Upstream) restart(refused chan<- struct{}) {
+	u.endpoint.refuse()
+	close(refused)
+	t := time.NewTimer(u.settings.RestartTime)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-u.done:
+		return
+	}
+	reachable := table.Read(u.state, func(s *state) bool {
+		s.rise(time.Now())
+		return !s.faults.Unreachable
+	})
+	if reachable {
+		u.endpoint.reopen()
+	}
 }
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -134,6 +134,45 @@
 	Share float64 `json:"share"`
 }
 
+// Crash is one unplanned restart.
+type Crash struct {
+	// At corresponds to the JSON schema field "at".
+	At time.Time `json:"at"`
+
+	// poison, fall-over or restart
+	Cause string `json:"cause"`
+
+	// operation and arguments of the request that caused it
+	Fingerprint string `json:"fingerprint,omitempty,omitzero"`
+
+	// Request corresponds to the JSON schema field "request".
+	Request string `json:"request,omitempty,omitzero"`
+}
+
+// Effect is what one execute changed, recorded before its response is written.
+type Effect struct {
+	// At corresponds to the JSON schema field "at".
+	At time.Time `json:"at"`
+
+	// Attempt corresponds to the JSON schema field "attempt".
+	Attempt int `json:"attempt"`
+
+	// Key corresponds to the JSON schema field "key".
+	Key string `json:"key"`
+
+	// Operation corresponds to the JSON schema field "operation".
+	Operation string `json:"operation"`
+
+	// Quantity corresponds to the JSON schema field "quantity".
+	Quantity int `json:"quantity"`
+
+	// Receipt corresponds to the JSON schema field "receipt".
+	Receipt string `json:"receipt"`
+
+	// Request corresponds to the JSON schema field "request".
+	Request string `json:"request"`
+}
+
 // Envelope is one frame between two VMs; exactly the field that kind names is set.
 type Envelope struct {
 	// CanaryReport corresponds to the JSON schema field "canary-report".
@@ -495,6 +534,25 @@
 	Token string `json:"token"`
 }
 
+// PlatformFaults sets the faults of the platform's stand-in; absent fields mean no
+// fault.
+type PlatformFaults struct {
+	// added to each answer, for example 200ms
+	Delay string `json:"delay,omitempty,omitzero"`
+
+	// close or unavailable
+	Down string `json:"down,omitempty,omitzero"`
+
+	// ListFrozen corresponds to the JSON schema field "list-frozen".
+	ListFrozen bool `json:"list-frozen,omitempty,omitzero"`
+
+	// age of the list of VMs, for example 5s
+	ListLag string `json:"list-lag,omitempty,omitzero"`
+
+	// version that is answered whatever the newest is
+	StaleTag int `json:"stale-tag,omitempty,omitzero"`
+}
+
 // QueryAnswer is a complete or partial answer from one snapshot.
 type QueryAnswer struct {
 	// Code corresponds to the JSON schema field "code".
@@ -708,25 +766,43 @@
 	Version uint64 `json:"version"`
 }
 
-// StartCount says how often an upstream started one attempt of a request.
-type StartCount struct {
+// Start is one start of an attempt, counted before any work is done.
+type Start struct {
+	// At corresponds to the JSON schema field "at".
+	At time.Time `json:"at"`
+
 	// Attempt corresponds to the JSON schema field "attempt".
 	Attempt int `json:"attempt"`
 
+	// Cold corresponds to the JSON schema field "cold".
+	Cold bool `json:"cold"`
+
+	// Connections corresponds to the JSON schema field "connections".
+	Connections int `json:"connections"`
+
+	// Ended corresponds to the JSON schema field "ended".
+	Ended *time.Time `json:"ended,omitempty,omitzero"`
+
+	// Incarnation corresponds to the JSON schema field "incarnation".
+	Incarnation string `json:"incarnation"`
+
+	// Operation corresponds to the JSON schema field "operation".
+	Operation string `json:"operation"`
+
+	// running, served, cancelled, expired, abandoned or crashed
+	Outcome string `json:"outcome"`
+
 	// Request corresponds to the JSON schema field "request".
 	Request string `json:"request"`
 
-	// Starts corresponds to the JSON schema field "starts".
-	Starts int `json:"starts"`
+	// requests running at that moment, this one included
+	Running int `json:"running"`
 
-	// Upstream corresponds to the JSON schema field "upstream".
-	Upstream string `json:"upstream"`
-}
+	// Shard corresponds to the JSON schema field "shard".
+	Shard string `json:"shard,omitempty,omitzero"`
 
-// StartCounts lists all starts since the stand-in began.
-type StartCounts struct {
-	// Items corresponds to the JSON schema field "items".
-	Items []StartCount `json:"items"`
+	// Snapshot corresponds to the JSON schema field "snapshot".
+	Snapshot uint64 `json:"snapshot"`
 }
 
 // SubRequest is the part of a request that one upstream runs.
@@ -789,6 +865,140 @@
 	Items []SubRequest `json:"items"`
 }
 
+// TurnedAway is one attempt that the upstream received and did not start.
+type TurnedAway struct {
+	// At corresponds to the JSON schema field "at".
+	At time.Time `json:"at"`
+
+	// Attempt corresponds to the JSON schema field "attempt".
+	Attempt int `json:"attempt"`
+
+	// Request corresponds to the JSON schema field "request".
+	Request string `json:"request"`
+
+	// Status corresponds to the JSON schema field "status".
+	Status int `json:"status"`
+}
+
+// UpstreamCounts is what one stand-in of an upstream has counted since it began.
+type UpstreamCounts struct {
+	// ColdLimit corresponds to the JSON schema field "cold-limit".
+	ColdLimit int `json:"cold-limit"`
+
+	// starts beyond the cold-start limit while cold
+	ColdOverloads int `json:"cold-overloads"`
+
+	// ColdRunningMaximum corresponds to the JSON schema field "cold-running-maximum".
+	ColdRunningMaximum int `json:"cold-running-maximum"`
+
+	// ConnectionLimit corresponds to the JSON schema field "connection-limit".
+	ConnectionLimit int `json:"connection-limit"`
+
+	// Connections corresponds to the JSON schema field "connections".
+	Connections int `json:"connections"`
+
+	// ConnectionsMaximum corresponds to the JSON schema field "connections-maximum".
+	ConnectionsMaximum int `json:"connections-maximum"`
+
+	// connections closed at once because of the limit
+	ConnectionsOverLimit int `json:"connections-over-limit"`
+
+	// Crashes corresponds to the JSON schema field "crashes".
+	Crashes []Crash `json:"crashes"`
+
+	// list entries lost to the length limit of the lists
+	Dropped int `json:"dropped"`
+
+	// Effects corresponds to the JSON schema field "effects".
+	Effects []Effect `json:"effects"`
+
+	// Incarnation corresponds to the JSON schema field "incarnation".
+	Incarnation string `json:"incarnation"`
+
+	// RunningMaximum corresponds to the JSON schema field "running-maximum".
+	RunningMaximum int `json:"running-maximum"`
+
+	// Started corresponds to the JSON schema field "started".
+	Started int `json:"started"`
+
+	// Starts corresponds to the JSON schema field "starts".
+	Starts []Start `json:"starts"`
+
+	// StartsAfterDrain corresponds to the JSON schema field "starts-after-drain".
+	StartsAfterDrain int `json:"starts-after-drain"`
+
+	// StartsAfterZoneOut corresponds to the JSON schema field
+	// "starts-after-zone-out".
+	StartsAfterZoneOut int `json:"starts-after-zone-out"`
+
+	// TurnedAway corresponds to the JSON schema field "turned-away".
+	TurnedAway []TurnedAway `json:"turned-away"`
+
+	// Upstream corresponds to the JSON schema field "upstream".
+	Upstream string `json:"upstream"`
+
+	// Zone corresponds to the JSON schema field "zone".
+	Zone string `json:"zone"`
+}
+
+// UpstreamCountsList holds the counts of several stand-ins.
+type UpstreamCountsList struct {
+	// Items corresponds to the JSON schema field "items".
+	Items []UpstreamCounts `json:"items"`
+}
+
+// UpstreamFaults sets the faults of one stand-in of an upstream; absent fields
+// mean no fault.
+type UpstreamFaults struct {
+	// refuses new work and reports it
+	Draining bool `json:"draining,omitempty,omitzero"`
+
+	// restarts when more than the cold-start limit run while cold
+	FallOver bool `json:"fall-over,omitempty,omitzero"`
+
+	// counts starts as late without refusing them
+	MarkedDraining bool `json:"marked-draining,omitempty,omitzero"`
+
+	// text whose occurrence in a filter or key crashes the upstream
+	Poison string `json:"poison,omitempty,omitzero"`
+
+	// age of the figures in health and load reports, for example 2s
+	ReportLag string `json:"report-lag,omitempty,omitzero"`
+
+	// ReportedLoad corresponds to the JSON schema field "reported-load".
+	ReportedLoad *Load `json:"reported-load,omitempty,omitzero"`
+
+	// ReportedStatus corresponds to the JSON schema field "reported-status".
+	ReportedStatus string `json:"reported-status,omitempty,omitzero"`
+
+	// restarts once, when the faults are set
+	Restart bool `json:"restart,omitempty,omitzero"`
+
+	// share of requests that are shed
+	ShedShare float64 `json:"shed-share,omitempty,omitzero"`
+
+	// makes the present connections silent for good, when the faults are set
+	Silence bool `json:"silence,omitempty,omitzero"`
+
+	// factor on the service time
+	Slow float64 `json:"slow,omitempty,omitzero"`
+
+	// versions held; all that the records have if absent
+	Snapshots []uint64 `json:"snapshots,omitempty,omitzero"`
+
+	// StragglerFactor corresponds to the JSON schema field "straggler-factor".
+	StragglerFactor float64 `json:"straggler-factor,omitempty,omitzero"`
+
+	// StragglerShare corresponds to the JSON schema field "straggler-share".
+	StragglerShare float64 `json:"straggler-share,omitempty,omitzero"`
+
+	// closes and refuses connections
+	Unreachable bool `json:"unreachable,omitempty,omitzero"`
+
+	// counts starts as late without refusing them
+	ZoneOut bool `json:"zone-out,omitempty,omitzero"`
+}
+
 // UpstreamState is what an owner hands over about one upstream.
 type UpstreamState struct {
 	// Finished corresponds to the JSON schema field "finished".
