--- /dev/null
+++ b/standin/network/link.go
@@ -0,0 +1,152 @@
+package network
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"time"
+)
+
+// Sizes of what one direction of a link holds; together they bound it to 1 MiB.
+const (
+	chunkBytes  = 16 << 10
+	chunksQueue = 64
+)
+
+// link is one relayed connection.
+type link struct {
+	client net.Conn
+	ctx    context.Context // ends with the link
+	cancel context.CancelFunc
+	frozen chan struct{}
+	once   sync.Once
+}
+
+// chunk is data on its way, due at the other end at a time; no data means the end of the stream.
+type chunk struct {
+	due  time.Time
+	data []byte
+}
+
+func newLink(client net.Conn) *link {
+	l := &link{client: client, frozen: make(chan struct{})}
+	l.ctx, l.cancel = context.WithCancel(context.Background())
+	return l
+}
+
+// run relays until both directions have ended or the link is ended.
+func (l *link) run(target net.Conn, delay func() (forward, back time.Duration)) {
+	stop := context.AfterFunc(l.ctx, func() { _ = target.Close() })
+	defer stop()
+	defer func() { _ = target.Close() }()
+	var directions sync.WaitGroup
+	directions.Go(func() {
+		l.direction(l.client, target, func() time.Duration { d, _ := delay(); return d })
+	})
+	directions.Go(func() {
+		l.direction(target, l.client, func() time.Duration { _, d := delay(); return d })
+	})
+	directions.Wait()
+}
+
+// direction relays from one end to the other; an error on either side ends the whole link.
+func (l *link) direction(from, to net.Conn, delay func() time.Duration) {
+	chunks := make(chan chunk, chunksQueue)
+	var reader sync.WaitGroup
+	reader.Go(func() { l.read(from, chunks, delay) })
+	if err := l.write(to, chunks); err != nil {
+		l.end()
+	}
+	reader.Wait()
+}
+
+func (l *link) read(from net.Conn, chunks chan<- chunk, delay func() time.Duration) {
+	defer close(chunks)
+	for {
+		buf := make([]byte, chunkBytes)
+		n, err := from.Read(buf)
+		if l.isFrozen() {
+			<-l.ctx.Done()
+			return
+		}
+		if n > 0 && !l.put(chunks, chunk{time.Now().Add(delay()), buf[:n]}) {
+			return
+		}
+		if err != nil {
+			l.put(chunks, chunk{due: time.Now().Add(delay())})
+			if !errors.Is(err, io.EOF) {
+				l.end()
+			}
+			return
+		}
+	}
+}
+
+func (l *link) put(chunks chan<- chunk, c chunk) bool {
+	select {
+	case chunks <- c:
+		return true
+	case <-l.ctx.Done():
+		return false
+	}
+}
+
+// write delivers each chunk when it is due and passes the end of the stream on.
+func (l *link) write(to net.Conn, chunks <-chan chunk) error {
+	for c := range chunks {
+		if !l.wait(time.Until(c.due)) {
+			return nil
+		}
+		if len(c.data) == 0 {
+			return closeWrite(to)
+		}
+		if _, err := to.Write(c.data); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// wait returns true when d is over, unless the link has ended; a frozen link waits for its end.
+func (l *link) wait(d time.Duration) bool {
+	if d > 0 {
+		t := time.NewTimer(d)
+		defer t.Stop()
+		select {
+		case <-t.C:
+		case <-l.ctx.Done():
+			return false
+		}
+	}
+	if l.isFrozen() {
+		<-l.ctx.Done()
+	}
+	return l.ctx.Err() == nil
+}
+
+func closeWrite(c net.Conn) error {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		return tcp.CloseWrite()
+	}
+	return c.Close()
+}
+
+func (l *link) freeze() {
+	l.once.Do(func() { close(l.frozen) })
+}
+
+func (l *link) isFrozen() bool {
+	select {
+	case <-l.frozen:
+		return true
+	default:
+		return false
+	}
+}
+
+func (l *link) end() {
+	l.cancel()
+	_ = l.client.Close()
+}
