Make readiness wait for ownership, and map a command's exit status

Cause: a VM was ready 3 s after its start while its upstreams were acquired a few ticks later, so the first query lacked 16 of 50 shards with owner-moved. kong wraps the error of a command, so its status was lost.

--- a/cmd/pistachioshore/entry.go
+++ b/cmd/pistachioshore/entry.go
@@ -9,6 +9,7 @@
 	"pistachioshore.dev/entry/process"
 	"pistachioshore.dev/entry/vm"
 	"pistachioshore.dev/result"
+	"pistachioshore.dev/shutdown"
 	"pistachioshore.dev/telemetry"
 )
 
@@ -23,7 +24,7 @@
 	LogFormat     string         `default:"logfmt" enum:"logfmt,json" help:"Form of log lines: logfmt or json."`
 	Traces        string         `default:"none" enum:"none,file,otlp" help:"Where spans go: none, file or otlp."`
 	TracesFile    string         `type:"path" help:"File for spans, with --traces=file."`
-	TracesAddress string         `help:"Host and port of an OTLP receiver, with --traces=otlp."`
+	TracesAddress netip.AddrPort `help:"Address and port of an OTLP receiver over HTTP, with --traces=otlp."`
 }
 
 // Run serves until the process is told to stop.
@@ -40,17 +41,16 @@
 // settings checks the flags and turns them into the settings of the process.
 func (c *entryCommand) settings() (process.Settings, error) {
 	const maxWorkers = 10000
-	const maxLag = 4 * time.Second // leaves half of the shutdown's bound for the rest
 	switch {
 	case c.Workers < 1 || c.Workers > maxWorkers:
 		return process.Settings{}, result.Field(result.OutOfRange, "--workers", strconv.Itoa(c.Workers), "1 to 10000")
-	case c.BalancerLag < 0 || c.BalancerLag > maxLag:
-		return process.Settings{}, result.Field(result.OutOfRange, "--balancer-lag", c.BalancerLag.String(), "0s to "+maxLag.String())
+	case c.BalancerLag < 0 || c.BalancerLag > shutdown.MaxBalancerLag:
+		return process.Settings{}, result.Field(result.OutOfRange, "--balancer-lag", c.BalancerLag.String(), "0s to "+shutdown.MaxBalancerLag.String())
 	case c.Listen.Port() == 0 || c.Listen.Addr().IsUnspecified():
 		return process.Settings{}, result.Field(result.OutOfRange, "--listen", c.Listen.String(), "an address that other VMs can reach, with a port above 0")
 	case c.Traces == "file" && c.TracesFile == "":
 		return process.Settings{}, result.Field(result.MissingField, "--traces-file", "", "a file path, with --traces=file")
-	case c.Traces == "otlp" && c.TracesAddress == "":
+	case c.Traces == "otlp" && !c.TracesAddress.IsValid():
 		return process.Settings{}, result.Field(result.MissingField, "--traces-address", "", "a host and port, with --traces=otlp")
 	}
 	return process.Settings{
@@ -59,6 +59,15 @@
 			Incarnation: uint64(time.Now().UnixNano()),
 		},
 		Platform:  c.Platform,
+		Telemetry: c.telemetry(),
 		LogOutput: os.Stderr,
 	}, nil
 }
+
+func (c *entryCommand) telemetry() telemetry.Options {
+	o := telemetry.DefaultOptions()
+	o.LogLevel, o.LogFormat = telemetry.LogLevel(c.LogLevel), telemetry.LogFormat(c.LogFormat)
+	o.TraceExporter, o.TracePath, o.TraceEndpoint = telemetry.TraceExporter(c.Traces), c.TracesFile, c.TracesAddress
+	o.VM, o.Zone = c.Listen, c.Zone
+	return o
+}
--- a/cmd/pistachioshore/main.go
+++ b/cmd/pistachioshore/main.go
@@ -9,11 +9,11 @@
 
 // commands lists the subcommands.
 type commands struct {
-	Entry entryCommand `cmd:"" help:"Run the process of one entry VM."`
-	Query queryCommand `cmd:"" help:"Send a look-up and print its answer."`
-	Order orderCommand `cmd:"" help:"Get a permit, send an order with it and print its outcome."`
+	Entry  entryCommand  `cmd:"" help:"Run the process of one entry VM."`
+	Query  queryCommand  `cmd:"" help:"Send a look-up and print its answer."`
+	Order  orderCommand  `cmd:"" help:"Get a permit, send an order with it and print its outcome."`
 	Status statusCommand `cmd:"" help:"Print what one entry VM believes."`
-	Check checkCommand `cmd:"" help:"Check a configuration file as an entry VM would."`
+	Check  checkCommand  `cmd:"" help:"Check a configuration file as an entry VM would."`
 }
 
 func main() {
--- a/cmd/pistachioshore/run.go
+++ b/cmd/pistachioshore/run.go
@@ -4,6 +4,7 @@
 	"io"
 
 	"github.com/alecthomas/kong"
+	"github.com/cockroachdb/errors"
 )
 
 // output is where answers are printed.
@@ -22,7 +23,8 @@
 // run runs the selected command and separates its exit status from its errors.
 func run(k *kong.Context) (int, error) {
 	err := k.Run()
-	if s, ok := err.(exitStatus); ok {
+	var s exitStatus
+	if errors.As(err, &s) {
 		return int(s), nil
 	}
 	return 0, err
--- a/entry/process/process.go
+++ b/entry/process/process.go
@@ -25,7 +25,6 @@
 	"pistachioshore.dev/entry/front"
 	"pistachioshore.dev/entry/vm"
 	"pistachioshore.dev/telemetry"
-	"pistachioshore.dev/transport"
 	"pistachioshore.dev/transport/feed"
 	"pistachioshore.dev/transport/rest"
 	"pistachioshore.dev/transport/socket"
@@ -81,7 +80,7 @@
 }
 
 func newLogger(s Settings) log.Logger {
-	return log.With(telemetry.NewLogger(s.LogOutput, s.Telemetry), "vm", s.VM.Address)
+	return telemetry.NewLogger(s.LogOutput, s.Telemetry)
 }
 
 func newMetrics(o telemetry.Options) (*metrics, error) {
@@ -119,7 +118,7 @@
 
 // newPolicies returns the policies in use; experiments decorate them with others.
 func newPolicies() vm.Policies {
-	return vm.Policies{Chooser: balancer.NewChooser(outcome.New[string](outcome.Defaults()), balancer.NewLatency())}
+	return vm.Policies{Chooser: balancer.NewChooser(outcome.New[string](), balancer.NewLatency(balancer.LatencyDefaults()))}
 }
 
 func newTier(v *vm.VM) entry.Tier {
@@ -162,7 +161,7 @@
 			p.VM.Start()
 			p.Hub.Start(p.VM)
 			go func() { _ = p.Server.Serve(l) }() // ends with ErrServerClosed at the stop
-			_ = level.Info(p.Log).Log("msg", "serving", "zone", p.Settings.Zone, "incarnation", p.Settings.Incarnation)
+			_ = level.Info(p.Log).Log("msg", "serving", "incarnation", p.Settings.Incarnation)
 			return nil
 		},
 		OnStop: func(ctx context.Context) error { return stop(ctx, p) },
--- a/entry/vm/config.go
+++ b/entry/vm/config.go
@@ -32,7 +32,7 @@
 		}
 		published, err := vm.to.Platform.Config(vm.ctx, tag, wait)
 		if err != nil {
-			vm.observe.Counters.PlatformFailure()
+			vm.observe.Counters.PlatformReadFailed()
 			vm.wait(retryDelay)
 			continue
 		}
@@ -61,7 +61,7 @@
 	for vm.ctx.Err() == nil {
 		list, err := vm.to.Platform.VMs(vm.ctx)
 		if err != nil {
-			vm.observe.Counters.PlatformFailure()
+			vm.observe.Counters.PlatformReadFailed()
 		} else {
 			vm.takeList(list)
 		}
--- a/entry/vm/contacts.go
+++ b/entry/vm/contacts.go
@@ -20,6 +20,7 @@
 	silent    map[netip.AddrPort]bool // listed VMs that were never heard
 	everHeard map[netip.AddrPort]bool
 	drained   time.Time
+	tick      time.Time // of the last tick
 	heartbeat time.Time // when the last one was sent
 }
 
@@ -84,3 +85,12 @@
 		return true
 	})
 }
+
+func (c *contacts) ticked(now time.Time) {
+	c.state.With(func(s *contactState) { s.tick = now })
+}
+
+// lastTick returns the time of the last tick, from which the length of a pause is known.
+func (c *contacts) lastTick() time.Time {
+	return table.Read(c.state, func(s *contactState) time.Time { return s.tick })
+}
--- a/entry/vm/order.go
+++ b/entry/vm/order.go
@@ -74,7 +74,7 @@
 	if err != nil {
 		return out, vm.refused(err)
 	}
-	vm.observe.Counters.Answer(out.Code)
+	vm.observe.Counters.Answered(out.Code)
 	return out, nil
 }
 
@@ -263,7 +263,7 @@
 func (vm *VM) runOrderAt(server string, n int, j orderJob, deadline time.Time) entry.Outcome {
 	got := make(chan part, 1)
 	sent := vm.now()
-	vm.observe.Counters.SubRequest()
+	vm.observe.Counters.SubRequested(1)
 	vm.dispatch([]subRequest{{
 		upstream: server,
 		job: upstream.Job[work]{
--- a/entry/vm/owner.go
+++ b/entry/vm/owner.go
@@ -128,7 +128,7 @@
 
 // reportCrash tells the coordinator VM that an upstream was lost while it ran a fingerprint.
 func (vm *VM) reportCrash(fingerprint uint64, upstreamName string) {
-	vm.observe.Counters.SuspectedCrash()
+	vm.observe.Counters.CrashSuspected()
 	_ = level.Warn(vm.observe.Log).Log("msg", "upstream lost while it ran a request", "upstream", upstreamName, "fingerprint", fingerprint)
 	vm.reportRun(fingerprint, quarantine.Crashed, upstreamName)
 }
@@ -136,7 +136,7 @@
 // applyChanges acts on what the last tick of the fleet table has found.
 func (vm *VM) applyChanges(now time.Time, c fleet.Changes) {
 	if c.Paused {
-		vm.observe.Counters.Pause()
+		vm.observe.Counters.Paused(now.Sub(vm.contacts.lastTick()))
 		_ = level.Warn(vm.observe.Log).Log("msg", "the process was paused; ownership dropped")
 		vm.follow(vm.owned.Drop(now))
 	}
@@ -148,7 +148,7 @@
 		_ = level.Info(vm.observe.Log).Log("msg", "VM lost", "vm", peer)
 	}
 	for _, name := range c.Acquired {
-		vm.observe.Counters.OwnershipChange()
+		vm.observe.Counters.OwnershipGained()
 		vm.follow(vm.owned.Adopt(now, name, vm.handovers.take(now, name)))
 	}
 	vm.handOver(now, c.Lost)
@@ -158,7 +158,7 @@
 func (vm *VM) handOver(now time.Time, losses []fleet.Loss) {
 	messages := map[netip.AddrPort]*wire.Handover{}
 	for _, l := range losses {
-		vm.observe.Counters.OwnershipChange()
+		vm.observe.Counters.OwnershipLost()
 		state, step := vm.owned.Release(now, l.Upstream)
 		vm.follow(step)
 		if !l.To.IsValid() {
--- a/entry/vm/peers.go
+++ b/entry/vm/peers.go
@@ -137,7 +137,7 @@
 		Revision: h.Revision, Digest: h.Digest,
 	}
 	for _, p := range h.Heard {
-		hb.Heard = append(hb.Heard, fleet.HeardPeer{Address: p.VM, Incarnation: p.Incarnation, Age: p.Age})
+		hb.Heard = append(hb.Heard, fleet.HeardPeer{Address: p.VM, Incarnation: p.Incarnation, Term: p.Term, Age: p.Age})
 	}
 	vm.fleet.Hear(now, hb)
 	vm.contacts.heard(from)
@@ -155,7 +155,7 @@
 		Revision: h.Revision, Digest: h.Digest, Heard: []wire.HeardPeer{},
 	}
 	for _, p := range h.Heard {
-		m.Heard = append(m.Heard, wire.HeardPeer{VM: p.Address, Incarnation: p.Incarnation, Age: p.Age})
+		m.Heard = append(m.Heard, wire.HeardPeer{VM: p.Address, Incarnation: p.Incarnation, Term: p.Term, Age: p.Age})
 	}
 	vm.broadcast(&wire.Envelope{Kind: codec.KindHeartbeat, Heartbeat: m})
 }
--- a/entry/vm/query.go
+++ b/entry/vm/query.go
@@ -178,7 +178,7 @@
 		return gather.Answer{}, false, result.New(result.Late, "the caller has left")
 	}
 	for range a.state.StaleParts() {
-		a.vm.observe.Counters.StalePart()
+		a.vm.observe.Counters.PartDropped()
 	}
 	return a.state.Answer(), a.restart, nil
 }
@@ -237,12 +237,12 @@
 	}
 	items := make([]subRequest, 0, len(list))
 	for _, at := range list {
-		a.vm.observe.Counters.SubRequest()
+		a.vm.observe.Counters.SubRequested(1)
 		switch {
 		case at.Hedge:
-			a.vm.observe.Counters.Hedge()
+			a.vm.observe.Counters.Hedged()
 		case at.Number > 1:
-			a.vm.observe.Counters.Retry()
+			a.vm.observe.Counters.Retried()
 		}
 		items = append(items, a.subRequest(at))
 	}
@@ -297,7 +297,7 @@
 
 // refused counts a refusal and returns it.
 func (vm *VM) refused(err error) error {
-	vm.observe.Counters.Refusal(codeOf(err))
+	vm.observe.Counters.Refused(codeOf(err))
 	return err
 }
 
@@ -306,7 +306,7 @@
 	if err != nil {
 		return vm.refused(err)
 	}
-	vm.observe.Counters.Answer(a.Code)
+	vm.observe.Counters.Answered(a.Code)
 	return nil
 }
 
--- a/entry/vm/status.go
+++ b/entry/vm/status.go
@@ -33,7 +33,7 @@
 	}
 	for _, u := range vm.owned.Views(now) {
 		s.Upstreams = append(s.Upstreams, wire.UpstreamStatus{
-			Upstream: u.Name, Owned: u.Owned, Cold: u.Cold, Limit: u.Limit, Running: u.Running, Queued: u.Queued,
+			Upstream: u.Name, Owned: u.Owned, Cold: !u.Warm, Limit: u.Limit, Running: u.Running, Queued: u.Queued,
 			Connections: u.Connections, Verified: u.Verified, Incarnation: u.Incarnation,
 		})
 	}
--- a/entry/vm/tick.go
+++ b/entry/vm/tick.go
@@ -17,6 +17,7 @@
 	now := vm.now()
 	s := fleet.DefaultSettings()
 	vm.applyChanges(now, vm.fleet.Tick(now))
+	vm.contacts.ticked(now)
 	vm.follow(vm.owned.Tick(now))
 	vm.permits.Expire(now)
 	if vm.contacts.heartbeatDue(now, s.Heartbeat) {
@@ -25,12 +26,26 @@
 	vm.timers.At(now.Add(s.Tick), vm.tick)
 }
 
+// acquireTime bounds the wait of readiness for the upstreams that this VM owns: a VM that waits
+// longer for an upstream still serves queries from the other replicas.
+const acquireTime = 5 * time.Second
+
 // Ready reports whether a configuration is in force that the listed VMs were asked about, the
-// takeover delay has passed, and the VM is in service.
+// VM has acquired the upstreams that it owns, and it is in service.
 func (vm *VM) Ready() bool {
 	now := vm.now()
 	age := now.Sub(vm.started)
 	asked := vm.contacts.complete() || age > peerAskTime
-	return vm.catalog.InForce() != nil && asked && age >= fleet.DefaultSettings().Takeover &&
+	return vm.catalog.InForce() != nil && asked && (age > acquireTime || vm.acquired()) &&
 		vm.stopping.Phase() == shutdown.Serving && vm.contacts.drainedFor(now) == 0
 }
+
+// acquired reports whether the VM has taken over every upstream that it should own.
+func (vm *VM) acquired() bool {
+	for _, o := range vm.fleet.Owned() {
+		if !o.Acquired {
+			return false
+		}
+	}
+	return vm.now().Sub(vm.started) >= fleet.DefaultSettings().Takeover
+}
--- a/table/table.go
+++ b/table/table.go
@@ -13,9 +13,9 @@
 	RankQuarantine Rank = 30
 	RankPermit     Rank = 40
 	RankUpstream   Rank = 50
+	RankGather     Rank = 55
 	RankBudget     Rank = 60
 	RankBalancer   Rank = 70
-	RankGather     Rank = 80
 	RankPending    Rank = 85
 	RankShutdown   Rank = 90
 )
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -313,6 +313,9 @@
 	// Incarnation corresponds to the JSON schema field "incarnation".
 	Incarnation uint64 `json:"incarnation"`
 
+	// Term corresponds to the JSON schema field "term".
+	Term uint64 `json:"term"`
+
 	// VM corresponds to the JSON schema field "vm".
 	VM netip.AddrPort `json:"vm"`
 }
