--- a/cmd/pistachioshore/entry.go
+++ b/cmd/pistachioshore/entry.go
@@ -33,9 +33,11 @@
 	if err != nil {
 		return err
 	}
-	app := process.New(s)
-	app.Run()
-	return app.Err()
+	p, err := process.New(s)
+	if err != nil {
+		return err
+	}
+	return p.Run()
 }
 
 // settings checks the flags and turns them into the settings of the process.
--- a/cmd/pistachioshore/main.go
+++ b/cmd/pistachioshore/main.go
@@ -13,6 +13,7 @@
 	Query  queryCommand  `cmd:"" help:"Send a look-up and print its answer."`
 	Order  orderCommand  `cmd:"" help:"Get a permit, send an order with it and print its outcome."`
 	Status statusCommand `cmd:"" help:"Print what one entry VM believes."`
+	Demo   demoCommand   `cmd:"" help:"Run both firms on loopback for about 20 s and check what must always hold."`
 	Check  checkCommand  `cmd:"" help:"Check a configuration file as an entry VM would."`
 }
 
--- /dev/null
+++ b/demo/acts.go
@@ -0,0 +1,81 @@
+package demo
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"pistachioshore.dev/audit"
+	"pistachioshore.dev/demo/tier"
+	"pistachioshore.dev/standin/sample"
+	"pistachioshore.dev/standin/upstream"
+)
+
+// act is something that operators do at a time of the run.
+type act struct {
+	at time.Duration
+	do func(ctx context.Context) error
+}
+
+// acts changes the snapshot, drains a zone, brings it back and stops a VM.
+func acts(ctx context.Context, t *tier.Tier, firm string, progress *lines) error {
+	zone := t.Catalog().Zones[1].Name
+	stopped := t.VMs()[0]
+	var drained time.Time
+	started := time.Now()
+	for _, a := range []act{
+		{newSnapshotAt, func(context.Context) error {
+			_, err := t.Publish(sample.WithSnapshots(1, 2))
+			progress.print("%s: snapshot 2 published", firm)
+			return err
+		}},
+		{zoneOutAt, func(context.Context) error {
+			var err error
+			drained, err = t.Publish(sample.WithZonesOut(zone))
+			progress.print("%s: zone %s taken out", firm, zone)
+			return errors.CombineErrors(err, markZone(t, zone, true))
+		}},
+		{zoneBackAt, func(context.Context) error {
+			err := markZone(t, zone, false)
+			back, publishErr := t.Publish(sample.WithZonesOut())
+			t.Recorder().Outage(audit.Outage{Property: audit.ZoneOut, Zone: zone, From: drained, To: back})
+			progress.print("%s: zone %s brought back", firm, zone)
+			return errors.CombineErrors(err, publishErr)
+		}},
+		{stopVMAt, func(ctx context.Context) error {
+			progress.print("%s: stopping VM %s in %s", firm, stopped.Address, stopped.Zone)
+			return stopped.Stop(context.WithoutCancel(ctx))
+		}},
+	} {
+		if !sleepUntil(ctx, started.Add(a.at)) {
+			return errors.New("the demo ended before its acts")
+		}
+		if err := a.do(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// markZone has the upstreams of a zone count what they start while it is drained.
+func markZone(t *tier.Tier, zone string, out bool) error {
+	var failures error
+	for _, u := range t.Upstreams().Select(upstream.Selection{Zone: zone}) {
+		f := u.Faults()
+		f.ZoneOut = out
+		failures = errors.CombineErrors(failures, u.SetFaults(f))
+	}
+	return failures
+}
+
+func sleepUntil(ctx context.Context, at time.Time) bool {
+	timer := time.NewTimer(time.Until(at))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -1,2 +1,98 @@
 // Package demo runs both firms' tiers in one process and checks what must always hold.
 package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"pistachioshore.dev/demo/tier"
+	"pistachioshore.dev/standin/sample"
+	"pistachioshore.dev/standin/upstream"
+)
+
+// Times of the demo's acts, counted from the moment at which the VMs are ready.
+const (
+	newSnapshotAt = 2 * time.Second
+	zoneOutAt     = 4 * time.Second
+	zoneBackAt    = 9 * time.Second // leaves 2 s in which a drained zone must receive nothing
+	stopVMAt      = 11 * time.Second
+	endAt         = 14 * time.Second
+)
+
+// LongestRun bounds the whole demo.
+const LongestRun = 30 * time.Second
+
+// Settings describe one run.
+type Settings struct {
+	Seed     uint64
+	Progress io.Writer // one line for each act
+	Log      io.Writer // log lines of the VMs; discarded if nil
+}
+
+// Run runs both firms' tiers side by side and reports what their callers and upstreams saw.
+func Run(ctx context.Context, s Settings) (Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, LongestRun)
+	defer cancel()
+	started := time.Now()
+	progress := &lines{w: s.Progress, started: started}
+	report := Report{Seed: s.Seed}
+	var mu sync.Mutex
+	var firms sync.WaitGroup
+	var failures error
+	for _, name := range sample.Firms() {
+		firms.Go(func() {
+			r, err := runFirm(ctx, s, name, progress)
+			mu.Lock()
+			defer mu.Unlock()
+			failures = errors.CombineErrors(failures, err)
+			report.Firms = append(report.Firms, r)
+		})
+	}
+	firms.Wait()
+	report.finish(time.Since(started))
+	return report, failures
+}
+
+func runFirm(ctx context.Context, s Settings, name string, progress *lines) (FirmReport, error) {
+	t, err := tier.Start(ctx, tier.Settings{
+		Firm: name, VMsPerZone: 2, LogOutput: s.Log,
+		Upstreams: upstream.Settings{Queue: 8, ServiceTime: 4 * time.Millisecond, Spread: 0.3, Seed: s.Seed},
+		Config:    []sample.Option{sample.WithSnapshots(1)},
+	})
+	if err != nil {
+		return FirmReport{Firm: name}, errors.Wrapf(err, "start the tier of %s", name)
+	}
+	progress.print("%s: %d entry VMs and %d upstreams are ready", name, len(t.VMs()), len(t.Upstreams().All()))
+	w := newWorkload(t, name, s.Seed)
+	running, stop := context.WithTimeout(ctx, endAt)
+	defer stop()
+	var load sync.WaitGroup
+	load.Go(func() { w.run(running) })
+	err = acts(running, t, name, progress)
+	load.Wait()
+	t.Close(ctx)
+	violations, history := t.Violations()
+	progress.print("%s: checked %d look-ups and %d orders", name, len(history.Queries), len(history.Orders))
+	return newFirmReport(name, history, violations), err
+}
+
+// lines prints progress with the time since the start.
+type lines struct {
+	mu      sync.Mutex
+	w       io.Writer
+	started time.Time
+}
+
+func (l *lines) print(format string, args ...any) {
+	if l.w == nil {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	fmt.Fprintf(l.w, "%5.1fs  %s\n", time.Since(l.started).Seconds(), fmt.Sprintf(format, args...))
+}
--- /dev/null
+++ b/demo/report.go
@@ -0,0 +1,163 @@
+package demo
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"pistachioshore.dev/audit"
+	"pistachioshore.dev/result"
+)
+
+// Range of the latencies that are recorded, in microseconds.
+const (
+	leastLatency = 1
+	mostLatency  = 60_000_000
+	digits       = 3
+)
+
+// Report is the outcome of a run.
+type Report struct {
+	Seed       uint64       `json:"seed"`
+	Elapsed    string       `json:"elapsed"`
+	Firms      []FirmReport `json:"firms"`
+	Violations int          `json:"violations"`
+}
+
+// FirmReport is the outcome of one firm's tier.
+type FirmReport struct {
+	Firm           string           `json:"firm"`
+	Lookups        int              `json:"look-ups"`
+	Orders         int              `json:"orders"`
+	Results        []CodeCount      `json:"results"`
+	Coverage       float64          `json:"coverage"`        // share of all shards asked for
+	P50            float64          `json:"p50-ms"`          // of look-ups that were answered
+	P99            float64          `json:"p99-ms"`          // of look-ups that were answered
+	ExtraLoad      float64          `json:"extra-load"`      // starts beyond one for each shard asked for, as a share of those
+	OrdersExecuted int              `json:"orders-executed"` // effects that the upstreams counted
+	Properties     []PropertyReport `json:"properties"`
+	Details        []string         `json:"violation-details"`
+}
+
+// CodeCount is how often requests ended with a result code.
+type CodeCount struct {
+	Code   int    `json:"code"`
+	Result string `json:"result"`
+	Count  int    `json:"count"`
+}
+
+// PropertyReport is the number of violations of one property.
+type PropertyReport struct {
+	Property   string `json:"property"`
+	Violations int    `json:"violations"`
+}
+
+// maxDetails bounds the violations that a report spells out.
+const maxDetails = 20
+
+func newFirmReport(firm string, h audit.History, violations []audit.Violation) FirmReport {
+	r := FirmReport{Firm: firm, Lookups: len(h.Queries), Orders: len(h.Orders), Details: []string{}}
+	r.Results = countCodes(h)
+	r.measure(h)
+	for p := audit.OneSnapshot; p <= audit.Evidence; p++ {
+		r.Properties = append(r.Properties, PropertyReport{Property: p.String(), Violations: count(violations, p)})
+	}
+	for _, v := range violations[:min(len(violations), maxDetails)] {
+		r.Details = append(r.Details, v.String())
+	}
+	return r
+}
+
+func countCodes(h audit.History) []CodeCount {
+	n := map[result.Code]int{}
+	for _, q := range h.Queries {
+		n[q.Code]++
+	}
+	for _, o := range h.Orders {
+		n[o.Code]++
+	}
+	var out []CodeCount
+	for c, times := range n {
+		name := c.String()
+		if c == 0 {
+			name = "connection-refused"
+		}
+		out = append(out, CodeCount{Code: int(c), Result: name, Count: times})
+	}
+	slices.SortFunc(out, func(a, b CodeCount) int { return cmp.Compare(a.Code, b.Code) })
+	return out
+}
+
+// measure fills in latency, coverage and extra load.
+func (r *FirmReport) measure(h audit.History) {
+	latencies := hdrhistogram.New(leastLatency, mostLatency, digits)
+	covered, asked := 0, 0
+	for _, q := range h.Queries {
+		if q.Answer == nil {
+			continue
+		}
+		_ = latencies.RecordValue(q.Returned.Sub(q.Sent).Microseconds()) // callers wait less than the range
+		covered += len(q.Answer.Covered)
+		asked += len(q.Answer.Covered) + len(q.Answer.Missing)
+	}
+	starts := 0
+	for _, u := range h.Upstreams {
+		r.OrdersExecuted += len(u.Effects)
+		for _, s := range u.Starts {
+			if s.Shard != "" {
+				starts++
+			}
+		}
+	}
+	if asked > 0 {
+		r.Coverage = float64(covered) / float64(asked)
+		r.ExtraLoad = float64(starts)/float64(asked) - 1
+	}
+	r.P50 = float64(latencies.ValueAtQuantile(50)) / 1000
+	r.P99 = float64(latencies.ValueAtQuantile(99)) / 1000
+}
+
+func count(violations []audit.Violation, p audit.Property) int {
+	n := 0
+	for _, v := range violations {
+		if v.Property == p {
+			n++
+		}
+	}
+	return n
+}
+
+func (r *Report) finish(elapsed time.Duration) {
+	r.Elapsed = elapsed.Round(100 * time.Millisecond).String()
+	slices.SortFunc(r.Firms, func(a, b FirmReport) int { return strings.Compare(a.Firm, b.Firm) })
+	for _, f := range r.Firms {
+		for _, p := range f.Properties {
+			r.Violations += p.Violations
+		}
+	}
+}
+
+// Print writes the report as text.
+func (r Report) Print(w io.Writer) {
+	for _, f := range r.Firms {
+		fmt.Fprintf(w, "\n%s: %d look-ups, %d orders sent, %d executed\n", f.Firm, f.Lookups, f.Orders, f.OrdersExecuted)
+		for _, c := range f.Results {
+			fmt.Fprintf(w, "  %3d %-20s %6d\n", c.Code, c.Result, c.Count)
+		}
+		fmt.Fprintf(w, "  coverage %.4f, p50 %.1f ms, p99 %.1f ms, extra load %.2f%%\n", f.Coverage, f.P50, f.P99, 100*f.ExtraLoad)
+		fmt.Fprint(w, "  violations:")
+		for _, p := range f.Properties {
+			fmt.Fprintf(w, " %s %d", p.Property, p.Violations)
+		}
+		fmt.Fprintln(w)
+		for _, d := range f.Details {
+			fmt.Fprintln(w, "   ", d)
+		}
+	}
+	fmt.Fprintf(w, "\n%d violations in %s\n", r.Violations, r.Elapsed)
+}
--- /dev/null
+++ b/demo/tier/client.go
@@ -0,0 +1,170 @@
+package tier
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"pistachioshore.dev/audit"
+	"pistachioshore.dev/codec"
+	"pistachioshore.dev/result"
+	"pistachioshore.dev/wire"
+)
+
+// Bounds of a caller.
+const (
+	callTime    = 5 * time.Second // above the longest deadline of a route
+	orderTries  = 4
+	orderRetry  = 200 * time.Millisecond
+	answerBytes = 16 << 20
+)
+
+// Client sends requests as the callers of a firm would, spread over the ready VMs, and records them.
+type Client struct {
+	tier *Tier
+	http *http.Client
+	next atomic.Uint64
+}
+
+// NewClient returns a client of a tier.
+func NewClient(t *Tier) *Client {
+	return &Client{tier: t, http: &http.Client{
+		Timeout:   callTime,
+		Transport: &http.Transport{MaxIdleConnsPerHost: 64},
+	}}
+}
+
+// Pick returns the next VM that is ready, or any that runs if none is.
+func (c *Client) Pick() *VM {
+	vms := c.tier.VMs()
+	n := c.next.Add(1)
+	var running *VM
+	for i := range vms {
+		v := vms[(int(n)+i)%len(vms)]
+		if !v.Running() {
+			continue
+		}
+		if v.process.VM().Ready() {
+			return v
+		}
+		running = v
+	}
+	return running
+}
+
+// Query sends one look-up to a VM and records how it ended.
+func (c *Client) Query(ctx context.Context, v *VM, caller string, req wire.QueryRequest) audit.Query {
+	q := audit.Query{Groups: req.Groups, Limit: req.Limit, Filter: codec.FromWireFilter(req.Filter)}
+	if len(q.Groups) == 0 {
+		q.Groups = c.groups(req.Route)
+	}
+	q.Call = audit.Call{Caller: caller, VM: v.Address, Sent: time.Now()}
+	a, refusal, err := post[wire.QueryAnswer](ctx, c.http, v, "/v1/query", req)
+	q.Returned = time.Now()
+	switch {
+	case err != nil:
+		q.NotSent = notSent(err)
+	case refusal != nil:
+		q.SetRefusal(*refusal)
+	default:
+		q.SetAnswer(*a)
+	}
+	c.tier.recorder.Query(q)
+	return q
+}
+
+func (c *Client) groups(route string) []string {
+	if r, ok := c.tier.Catalog().Route(route); ok {
+		return r.Groups
+	}
+	return nil
+}
+
+// Order gets a permit from one VM and sends the order to others until its outcome is known.
+func (c *Client) Order(ctx context.Context, caller string, req wire.OrderRequest) audit.Order {
+	v := c.Pick()
+	permit, refusal, err := post[wire.Permit](ctx, c.http, v, "/v1/permits", struct{}{})
+	if err != nil || refusal != nil {
+		o := audit.Order{Operation: req.Operation, Key: req.Key, Quantity: req.Quantity}
+		o.Call = audit.Call{Caller: caller, VM: v.Address, Code: result.NotReady, NotSent: true}
+		return o // nothing was sent that could run, so there is nothing to record
+	}
+	req.Permit = *permit
+	var last audit.Order
+	for n := range orderTries {
+		if n > 0 && !sleep(ctx, orderRetry) {
+			break
+		}
+		last = c.tryOrder(ctx, c.Pick(), caller, req)
+		if last.Code != 0 && last.Code.Effect() != result.MayHaveRun {
+			break
+		}
+	}
+	return last
+}
+
+func (c *Client) tryOrder(ctx context.Context, v *VM, caller string, req wire.OrderRequest) audit.Order {
+	o := audit.Order{
+		Permit: audit.PermitName(req.Permit), Operation: req.Operation, Key: req.Key, Quantity: req.Quantity,
+		Call: audit.Call{Caller: caller, VM: v.Address, Sent: time.Now()},
+	}
+	a, refusal, err := post[wire.OrderAnswer](ctx, c.http, v, "/v1/orders", req)
+	o.Returned = time.Now()
+	switch {
+	case err != nil:
+		o.NotSent = notSent(err)
+	case refusal != nil:
+		o.SetRefusal(*refusal)
+	default:
+		o.SetAnswer(*a)
+	}
+	c.tier.recorder.Order(o)
+	return o
+}
+
+// post sends a JSON body to a VM and decodes the answer or the refusal.
+func post[T any](ctx context.Context, client *http.Client, v *VM, path string, body any) (*T, *wire.Refusal, error) {
+	b, err := json.Marshal(body)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "encode request")
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+v.Address.String()+path, bytes.NewReader(b))
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "build request")
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := client.Do(req)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "send request")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		r, err := codec.DecodeJSON[wire.Refusal](resp.Body, answerBytes)
+		return nil, &r, err
+	}
+	a, err := codec.DecodeJSON[T](resp.Body, answerBytes)
+	return &a, nil, err
+}
+
+// notSent reports whether the VM refused the connection, as a VM that has stopped does.
+func notSent(err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
+// sleep waits for d; it reports whether ctx still lasts.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/demo/tier/tier.go
@@ -0,0 +1,252 @@
+// Package tier runs one firm's tier in this process: the platform's stand-in, all upstreams and several entry VMs.
+package tier
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/fx"
+
+	"pistachioshore.dev/audit"
+	"pistachioshore.dev/catalog"
+	"pistachioshore.dev/codec"
+	"pistachioshore.dev/standin"
+	"pistachioshore.dev/standin/platform"
+	"pistachioshore.dev/standin/sample"
+	"pistachioshore.dev/standin/upstream"
+	"pistachioshore.dev/wire"
+)
+
+// Settings describe a tier.
+type Settings struct {
+	Firm       string
+	VMsPerZone int
+	Upstreams  upstream.Settings // what the configuration does not state about upstreams
+	Config     []sample.Option
+	Adjust     func(cfg *wire.Configuration) // changes every published configuration; may be nil
+	LogOutput  io.Writer                     // log lines of the VMs; discarded if nil
+	Extra      []fx.Option                   // replaces parts of every VM
+}
+
+// Tier is a running tier.
+type Tier struct {
+	settings  Settings
+	platform  *platform.Platform
+	server    *standin.Server
+	upstreams *upstream.Set
+	addresses map[string]netip.AddrPort
+	listens   map[string]standin.Listen
+	recorder  *audit.Recorder
+
+	mu       sync.Mutex
+	vms      []*VM
+	revision uint64
+	options  []sample.Option
+	current  *catalog.Config // last published
+}
+
+// Start starts the platform, the upstreams and the VMs, and waits until every VM is ready.
+func Start(ctx context.Context, s Settings) (*Tier, error) {
+	if s.LogOutput == nil {
+		s.LogOutput = io.Discard
+	}
+	t := &Tier{
+		settings: s, addresses: map[string]netip.AddrPort{}, listens: map[string]standin.Listen{},
+		revision: 1, options: s.Config,
+	}
+	cfg, raw, err := t.config()
+	if err != nil {
+		return nil, err
+	}
+	t.recorder = audit.NewRecorder(audit.History{Catalog: cfg, Records: sample.Records, SnapshotOf: sample.SnapshotOf})
+	if err := t.serveStandIns(cfg, raw); err != nil {
+		return nil, err
+	}
+	if err := t.startVMs(ctx, cfg); err != nil {
+		t.Close(ctx)
+		return nil, err
+	}
+	return t, errors.Wrap(t.waitReady(ctx), "wait until the VMs are ready")
+}
+
+// Platform returns the platform's stand-in.
+func (t *Tier) Platform() *platform.Platform {
+	return t.platform
+}
+
+// Upstreams returns the upstreams' stand-ins.
+func (t *Tier) Upstreams() *upstream.Set {
+	return t.upstreams
+}
+
+// Recorder returns what records the history of this tier.
+func (t *Tier) Recorder() *audit.Recorder {
+	return t.recorder
+}
+
+// VMs returns the VMs in the order of their start, stopped ones included.
+func (t *Tier) VMs() []*VM {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return append([]*VM(nil), t.vms...)
+}
+
+// Publish publishes the next revision of the configuration, changed by further options, and returns
+// the time of the publication.
+func (t *Tier) Publish(opts ...sample.Option) (time.Time, error) {
+	t.mu.Lock()
+	t.revision++
+	t.options = append(t.options, opts...)
+	t.mu.Unlock()
+	cfg, raw, err := t.config()
+	if err != nil {
+		return time.Time{}, err
+	}
+	t.upstreams.Update(cfg) // upstreams hold a snapshot before queries pin it
+	at := time.Now()
+	t.recorder.Publication(audit.Publication{Revision: cfg.Revision, At: at})
+	_, err = t.platform.Publish(raw)
+	return at, err
+}
+
+// Violations compares what was recorded with what the upstreams counted. The last configuration has
+// to list every snapshot that an answer may name.
+func (t *Tier) Violations() ([]audit.Violation, audit.History) {
+	h := t.recorder.History(audit.FromCounts(t.upstreams.Counts()))
+	h.Catalog = t.Catalog()
+	return audit.New(h).All(), h
+}
+
+// Catalog returns the configuration that was published last.
+func (t *Tier) Catalog() *catalog.Config {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.current
+}
+
+// Close stops the VMs that still run and the stand-ins.
+func (t *Tier) Close(ctx context.Context) {
+	var stops sync.WaitGroup
+	for _, v := range t.VMs() {
+		stops.Go(func() { _ = v.Stop(ctx) })
+	}
+	stops.Wait()
+	if t.server != nil {
+		_ = t.server.Close()
+	}
+	if t.upstreams != nil {
+		t.upstreams.Close()
+	}
+}
+
+// config builds the configuration of the present revision.
+func (t *Tier) config() (*catalog.Config, []byte, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	opts := append([]sample.Option{sample.WithAddresses(t.address)}, t.options...)
+	w, ok := sample.Config(t.settings.Firm, 0, append(opts, sample.WithRevision(t.revision))...)
+	if !ok {
+		return nil, nil, errors.Newf("unknown firm %q", t.settings.Firm)
+	}
+	if t.settings.Adjust != nil {
+		t.settings.Adjust(&w)
+	}
+	raw, err := sample.YAML(w)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "encode configuration")
+	}
+	cfg, faults := codec.ParseConfig(raw)
+	if len(faults) > 0 {
+		return nil, nil, errors.Wrap(faults[0], "check configuration")
+	}
+	t.current = cfg
+	return cfg, raw, nil
+}
+
+// address reserves the port of a server when it is first asked for.
+func (t *Tier) address(server string, _ int) netip.AddrPort {
+	if a, ok := t.addresses[server]; ok {
+		return a
+	}
+	a, listen, err := standin.Reserve()
+	if err != nil {
+		return netip.AddrPort{} // the check of the configuration reports it
+	}
+	t.addresses[server], t.listens[server] = a, listen
+	return a
+}
+
+func (t *Tier) serveStandIns(cfg *catalog.Config, raw []byte) error {
+	var err error
+	t.upstreams, err = upstream.ServeAll(cfg,
+		upstream.WithBase(t.settings.Upstreams),
+		upstream.WithLoader(sample.Loader),
+		upstream.WithListen(func(s catalog.Server) standin.Listen { return t.listens[s.Name] }),
+	)
+	if err != nil {
+		return errors.Wrap(err, "serve upstreams")
+	}
+	t.platform = platform.New(raw)
+	t.server, err = standin.Serve(netip.AddrPortFrom(loopback, 0), t.platform)
+	return errors.Wrap(err, "serve platform")
+}
+
+var loopback = netip.AddrFrom4([4]byte{127, 0, 0, 1})
+
+func (t *Tier) startVMs(ctx context.Context, cfg *catalog.Config) error {
+	type place struct {
+		zone     string
+		listener net.Listener
+	}
+	var places []place
+	for range t.settings.VMsPerZone {
+		for _, z := range cfg.Zones {
+			l, err := net.Listen("tcp", netip.AddrPortFrom(loopback, 0).String())
+			if err != nil {
+				return errors.Wrap(err, "listen")
+			}
+			places = append(places, place{z.Name, l})
+		}
+	}
+	for _, p := range places {
+		v, err := newVM(t, p.zone, p.listener)
+		if err != nil {
+			return err
+		}
+		t.vms = append(t.vms, v)
+	}
+	if err := t.List(); err != nil {
+		return err
+	}
+	for _, v := range t.vms {
+		if err := v.process.Start(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// List publishes the VMs that run in the platform's list.
+func (t *Tier) List() error {
+	var list []wire.VM
+	for _, v := range t.VMs() {
+		if v.Running() {
+			list = append(list, wire.VM{Address: v.Address, Zone: v.Zone, State: "live"})
+		}
+	}
+	return t.platform.SetVMs(list)
+}
+
+func (t *Tier) waitReady(ctx context.Context) error {
+	for _, v := range t.VMs() {
+		if err := v.waitReady(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/entry/process/process.go
+++ b/entry/process/process.go
@@ -48,11 +48,19 @@
 	Platform  netip.AddrPort
 	Telemetry telemetry.Options
 	LogOutput io.Writer
+	Listener  net.Listener // already open on the VM's address; nil to listen at the start
 }
 
-// New returns the application of one entry VM; extra options replace or add parts.
-func New(s Settings, extra ...fx.Option) *fx.App {
-	return fx.New(append([]fx.Option{
+// Process is one entry VM with everything that it holds.
+type Process struct {
+	app   *fx.App
+	parts parts
+}
+
+// New builds a process; extra options replace or add parts.
+func New(s Settings, extra ...fx.Option) (*Process, error) {
+	p := &Process{}
+	p.app = fx.New(append([]fx.Option{
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.StopTimeout(StopTime),
 		fx.Supply(s, s.VM, s.Telemetry),
@@ -61,8 +69,45 @@
 			codec.New, newHub, newTransports, newPolicies,
 			vm.New, newTier, front.New, newServer,
 		),
+		fx.Populate(&p.parts),
 		fx.Invoke(run),
 	}, extra...)...)
+	return p, errors.Wrap(p.app.Err(), "build the process")
+}
+
+// Start listens and begins to serve.
+func (p *Process) Start(ctx context.Context) error {
+	return errors.Wrap(p.app.Start(ctx), "start the process")
+}
+
+// Stop shuts the process down gracefully.
+func (p *Process) Stop(ctx context.Context) error {
+	return errors.Wrap(p.app.Stop(ctx), "stop the process")
+}
+
+// Run serves until the process is told to stop by SIGINT or SIGTERM, and shuts it down gracefully.
+func (p *Process) Run() error {
+	if err := p.Start(context.Background()); err != nil {
+		return err
+	}
+	<-p.app.Wait()
+	ctx, cancel := context.WithTimeout(context.Background(), StopTime)
+	defer cancel()
+	return p.Stop(ctx)
+}
+
+// Kill ends the process as a crash would: every connection breaks and nothing more is sent. It is
+// for tests; Stop must not be called afterwards.
+func (p *Process) Kill() {
+	p.parts.VM.Kill()
+	_ = p.parts.Server.Close()
+	p.parts.Hub.Close()
+	p.parts.VM.Close()
+}
+
+// VM returns the entry VM, for tests that look into it.
+func (p *Process) VM() *vm.VM {
+	return p.parts.VM
 }
 
 // metrics is the scope that counters are built on and the page that shows them.
@@ -140,6 +185,7 @@
 type parts struct {
 	fx.In
 
+	Process  Settings
 	Settings vm.Settings
 	Log      log.Logger
 	VM       *vm.VM
@@ -149,14 +195,22 @@
 	Tracing  *tracing
 }
 
+func (p parts) listen() (net.Listener, error) {
+	if p.Process.Listener != nil {
+		return p.Process.Listener, nil
+	}
+	l, err := net.Listen("tcp", p.Settings.Address.String())
+	return l, errors.Wrapf(err, "listen on %s", p.Settings.Address)
+}
+
 // run ties the process to the application: it listens first, so that a busy address fails the
 // start, and it stops serving last, so that no accepted request is cut off.
 func run(lc fx.Lifecycle, p parts) {
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
-			l, err := net.Listen("tcp", p.Settings.Address.String())
+			l, err := p.listen()
 			if err != nil {
-				return errors.Wrapf(err, "listen on %s", p.Settings.Address)
+				return err
 			}
 			p.VM.Start()
 			p.Hub.Start(p.VM)
--- a/entry/vm/vm.go
+++ b/entry/vm/vm.go
@@ -136,6 +136,12 @@
 	vm.reads.Go(vm.readVMs)
 }
 
+// Kill breaks the connections to upstreams without a drain, as the end of the process would.
+func (vm *VM) Kill() {
+	vm.cancel()
+	vm.conns.closeAll()
+}
+
 // Close ends the reads, runs what is queued and waits for the workers.
 func (vm *VM) Close() {
 	vm.cancel()
