Reserve listening addresses before a configuration names them

A configuration states the upstreams' addresses before anything serves them. Asking for a free port and closing it again let another upstream of the same process take it: a trial with 113 upstreams failed to listen.

Reserve keeps the listener open until the first call of its Listen takes it over.

--- a/standin/port.go
+++ b/standin/port.go
@@ -32,6 +32,27 @@
 	}
 }
 
+// Reserve listens on a free port of loopback at once, so that a configuration can name the address
+// before anything serves it; the first call of the Listen takes the listener over.
+func Reserve() (netip.AddrPort, Listen, error) {
+	listen := ListenTCP(netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), 0))
+	first, err := listen()
+	if err != nil {
+		return netip.AddrPort{}, nil, err
+	}
+	held := make(chan net.Listener, 1)
+	held <- first
+	again := func() (net.Listener, error) {
+		select {
+		case l := <-held:
+			return l, nil
+		default:
+			return listen()
+		}
+	}
+	return first.Addr().(*net.TCPAddr).AddrPort(), again, nil
+}
+
 // Port is a listening address that can refuse connections for a time and accept again.
 type Port struct {
 	listen Listen
