Check histories against the upstreams' counts for P1 to P10

Nothing compared what callers saw with what the upstreams ran.

Result: a good history of every check gives no violation, and the scripts show a bad one for each.

--- /dev/null
+++ b/audit/audit_test.go
@@ -0,0 +1,152 @@
+package audit
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"pistachioshore.dev/catalog"
+	"pistachioshore.dev/codec"
+	"pistachioshore.dev/record"
+	"pistachioshore.dev/result"
+	"pistachioshore.dev/standin/sample"
+)
+
+// TestScripts guards that each check reports the histories that break its property and no others. A line
+// is one call or event; without arguments it is good, and its arguments break it.
+func TestScripts(t *testing.T) {
+	doc, _ := sample.Config("hronec", 21000, sample.WithSnapshots(1, 2))
+	text, err := sample.YAML(doc)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg, _ := codec.ParseConfig(text)
+	datadriven.RunTest(t, "testdata/checks.txt", func(t *testing.T, d *datadriven.TestData) string {
+		b := &builder{t: t, up: Upstream{Name: "u", Zone: "z", ColdLimit: 1, ConnectionLimit: 25}}
+		b.recorder = NewRecorder(History{Catalog: cfg, Records: sample.Records, SnapshotOf: sample.SnapshotOf})
+		for line := range strings.Lines(d.Input) {
+			b.line(cfg, line)
+		}
+		found := New(b.recorder.History([]Upstream{b.up})).All()
+		out := ""
+		for _, v := range found {
+			out += v.String() + "\n"
+		}
+		return out + fmt.Sprintf("%d violations\n", len(found))
+	})
+}
+
+// builder makes a history from lines.
+type builder struct {
+	t        *testing.T
+	args     *datadriven.TestData
+	recorder *Recorder
+	up       Upstream
+}
+
+func (b *builder) line(cfg *catalog.Config, line string) {
+	cmd, args, err := datadriven.ParseLine(line)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	b.args = &datadriven.TestData{Cmd: cmd, CmdArgs: args}
+	sent := at(arg(b, "at", 0))
+	vm := netip.AddrPortFrom(netip.IPv4Unspecified(), uint16(arg(b, "vm", 1)))
+	switch cmd {
+	case "query":
+		b.query(cfg, b.call(sent, vm, "r1", result.Complete))
+	case "order":
+		c := b.call(sent, vm, "o1", result.Executed)
+		b.recorder.Order(Order{
+			Call: c, Permit: arg(b, "permit", "p1"), Operation: "order", Key: arg(b, "key", "k1"), Quantity: 1, Receipt: arg(b, "receipt", "x1"),
+		})
+	case "effect":
+		b.up.Effects = append(b.up.Effects, Effect{
+			Request: arg(b, "request", "o1"), Operation: "order", Key: arg(b, "key", "k1"), Quantity: 1, Receipt: arg(b, "receipt", "x1"), At: sent,
+		})
+	case "start":
+		b.start(arg(b, "request", "r9/s"), "s", 1)
+	case "refused":
+		b.up.RefusedArrivals = append(b.up.RefusedArrivals, Arrival{Request: "r8", At: sent})
+	case "upstream":
+		b.up.ConnectionsMax, b.up.ConnectionsOver, b.up.Dropped = arg(b, "connections", 25), arg(b, "over", 0), arg(b, "dropped", 0)
+	case "crash":
+		b.up.PoisonedRestarts = append(b.up.PoisonedRestarts, Crash{At: sent, Request: "r", Fingerprint: arg(b, "fingerprint", "f")})
+	case "zone-out":
+		b.recorder.Outage(Outage{Property: ZoneOut, Zone: "z", From: sent, To: sent.Add(10 * time.Second)})
+	case "drain":
+		b.recorder.Outage(Outage{Property: Draining, Upstream: "u", From: sent})
+	case "sight":
+		b.recorder.Sighting(Sighting{VM: vm, Sent: sent, Returned: sent.Add(time.Millisecond), Revision: uint64(arg(b, "revision", 1))})
+	case "publish":
+		b.recorder.Publication(Publication{Revision: uint64(arg(b, "revision", 1)), At: sent, Except: []netip.AddrPort{netip.AddrPortFrom(netip.IPv4Unspecified(), 9)}})
+	case "stop":
+		b.recorder.Stop(Stop{VM: vm, From: sent, To: sent.Add(8 * time.Second)})
+	default:
+		b.t.Fatalf("unknown line %q", line)
+	}
+}
+
+func (b *builder) call(sent time.Time, vm netip.AddrPort, request string, code result.Code) Call {
+	return Call{
+		Caller: arg(b, "caller", "ann"), VM: vm, Sent: sent, Returned: sent.Add(time.Second),
+		Request: arg(b, "request", request), Code: result.Code(arg(b, "code", int(code))), NotSent: b.args.HasArg("not-sent"),
+	}
+}
+
+// query adds an answer of two shards and the starts that it needs.
+func (b *builder) query(cfg *catalog.Config, c Call) {
+	q := Query{Call: c, Groups: []string{"cert-archive", "pitch-stock"}, Limit: arg(b, "limit", 0)}
+	if !c.Code.Answered() {
+		b.recorder.Query(q)
+		return
+	}
+	q.Filter.Contains = arg(b, "contains", "")
+	shards, _ := cfg.Shards(1, q.Groups)
+	q.Answer = &Answer{Snapshot: uint64(arg(b, "snapshot", 1)), Revision: 1}
+	var all []record.Record
+	for i, s := range shards {
+		b.start(c.Request+"/"+s.Name, s.Name, uint64(arg(b, "started", 1)))
+		all = append(all, sample.Records(s, uint64(arg(b, "records", 1)))...)
+		if i < arg(b, "covered", len(shards)) {
+			q.Answer.Covered = append(q.Answer.Covered, s.Name)
+		}
+	}
+	q.Answer.Records, q.Answer.Matched = record.Select(all, record.Filter{Contains: arg(b, "found", q.Filter.Contains)}, q.Limit)
+	if b.args.HasArg("missing") {
+		q.Answer.Missing = append(q.Answer.Missing, shards[1].Name)
+	}
+	if drop := arg(b, "drop", 0); drop > 0 {
+		q.Answer.Records = slices.Delete(q.Answer.Records, 0, drop)
+	}
+	if b.args.HasArg("swap") {
+		slices.Reverse(q.Answer.Records)
+	}
+	if b.args.HasArg("modify") {
+		q.Answer.Records[0].Quantity++
+	}
+	b.recorder.Query(q)
+}
+
+func (b *builder) start(request, shard string, snapshot uint64) {
+	b.up.Starts = append(b.up.Starts, Start{
+		Request: request, Shard: shard, Snapshot: snapshot, At: at(arg(b, "at", 0)), Running: arg(b, "running", 1),
+		Cold: b.args.HasArg("cold"), Served: !b.args.HasArg("unserved"),
+	})
+}
+
+// at returns a time in seconds from the beginning.
+func at(seconds int) time.Time {
+	return time.Unix(int64(seconds), 0)
+}
+
+// arg returns an argument of the line, or its default.
+func arg[T any](b *builder, key string, value T) T {
+	b.args.MaybeScanArgs(b.t, key, &value)
+	return value
+}
--- /dev/null
+++ b/audit/convert.go
@@ -0,0 +1,75 @@
+package audit
+
+import (
+	"fmt"
+	"net/http"
+
+	"pistachioshore.dev/codec"
+	"pistachioshore.dev/result"
+	"pistachioshore.dev/wire"
+)
+
+// FromCounts converts the counts of the stand-ins, which come from Go or from GET /v1/starts.
+func FromCounts(counts []wire.UpstreamCounts) []Upstream {
+	out := make([]Upstream, 0, len(counts))
+	for _, c := range counts {
+		out = append(out, fromCounts(c))
+	}
+	return out
+}
+
+func fromCounts(c wire.UpstreamCounts) Upstream {
+	u := Upstream{
+		Name: c.Upstream, Zone: c.Zone, ColdLimit: c.ColdLimit, ConnectionLimit: c.ConnectionLimit,
+		ConnectionsMax: c.ConnectionsMaximum, ConnectionsOver: c.ConnectionsOverLimit, Dropped: c.Dropped,
+	}
+	for _, s := range c.Starts {
+		u.Starts = append(u.Starts, Start{
+			Request: s.Request, Attempt: s.Attempt, Shard: s.Shard, Snapshot: s.Snapshot, At: s.At,
+			Running: s.Running, Cold: s.Cold, Served: s.Outcome == "served",
+		})
+	}
+	for _, t := range c.TurnedAway {
+		if t.Status == http.StatusServiceUnavailable {
+			u.RefusedArrivals = append(u.RefusedArrivals, Arrival{Request: t.Request, At: t.At})
+		}
+	}
+	for _, e := range c.Effects {
+		u.Effects = append(u.Effects, Effect{
+			Request: e.Request, Operation: e.Operation, Key: e.Key, Quantity: e.Quantity, Receipt: e.Receipt, At: e.At,
+		})
+	}
+	for _, cr := range c.Crashes {
+		if cr.Cause == "poison" {
+			u.PoisonedRestarts = append(u.PoisonedRestarts, Crash{At: cr.At, Request: cr.Request, Fingerprint: cr.Fingerprint})
+		}
+	}
+	return u
+}
+
+// SetAnswer fills in a received answer.
+func (q *Query) SetAnswer(w wire.QueryAnswer) {
+	q.Request, q.Code = w.RequestID, result.Code(w.Code)
+	q.Answer = &Answer{
+		Snapshot: w.Snapshot, Revision: w.Revision, Covered: w.Coverage.Covered,
+		Records: codec.FromWireRecords(w.Records), Matched: w.Matched,
+	}
+	for _, m := range w.Coverage.Missing {
+		q.Answer.Missing = append(q.Answer.Missing, m.Shard)
+	}
+}
+
+// SetAnswer fills in a received outcome.
+func (o *Order) SetAnswer(w wire.OrderAnswer) {
+	o.Request, o.Code, o.Receipt = w.RequestID, result.Code(w.Code), w.Receipt
+}
+
+// SetRefusal fills in a received refusal.
+func (c *Call) SetRefusal(w wire.Refusal) {
+	c.Request, c.Code = w.RequestID, result.Code(w.Code)
+}
+
+// PermitName returns a name that is unique to a permit.
+func PermitName(p wire.Permit) string {
+	return fmt.Sprintf("%s/%d/%d", p.Issuer, p.Incarnation, p.Sequence)
+}
--- /dev/null
+++ b/audit/outage.go
@@ -0,0 +1,62 @@
+package audit
+
+import (
+	"time"
+
+	"pistachioshore.dev/result"
+)
+
+// Outages checks that a drained zone (P4) and a draining upstream (P8) received no new work later than
+// 3 s after the publication; work that the upstream refused at once counts too.
+func (a *Audit) Outages() []Violation {
+	var out violations
+	for _, o := range a.history.Outages {
+		for _, u := range a.history.Upstreams {
+			if !o.concerns(u) {
+				continue
+			}
+			for _, s := range u.Starts {
+				o.check(&out, u, s.Request, "started", s.At)
+			}
+			for _, r := range u.RefusedArrivals {
+				o.check(&out, u, r.Request, "received", r.At)
+			}
+		}
+	}
+	return out
+}
+
+func (o Outage) concerns(u Upstream) bool {
+	if o.Property == ZoneOut {
+		return u.Zone == o.Zone
+	}
+	return u.Name == o.Upstream
+}
+
+func (o Outage) check(out *violations, u Upstream, request, what string, at time.Time) {
+	late := at.Sub(o.From)
+	if late > Propagation && (o.To.IsZero() || at.Before(o.To)) {
+		out.add(o.Property, u.Name, "%s was %s %v after the publication", request, what, late)
+	}
+}
+
+// Stops checks that no request that a VM accepted around its planned stop failed (P9).
+func (a *Audit) Stops() []Violation {
+	var out violations
+	for _, s := range a.history.Stops {
+		for _, q := range a.history.Queries {
+			s.check(&out, q.Call)
+		}
+		for _, o := range a.history.Orders {
+			s.check(&out, o.Call)
+		}
+	}
+	return out
+}
+
+func (s Stop) check(out *violations, c Call) {
+	during := c.VM == s.VM && c.Returned.After(s.From) && c.Sent.Before(s.To)
+	if during && (c.broken() || c.Code == result.Internal) {
+		out.add(Graceful, s.VM.String(), "a request of %s failed during the planned stop", c.Caller)
+	}
+}
--- /dev/null
+++ b/audit/refusal.go
@@ -0,0 +1,24 @@
+package audit
+
+import "pistachioshore.dev/result"
+
+// Refusals checks that no request that was refused as "not run" was started (P6).
+func (a *Audit) Refusals() []Violation {
+	var out violations
+	for _, q := range a.history.Queries {
+		a.checkRefusal(&out, q.Call)
+	}
+	for _, o := range a.history.Orders {
+		a.checkRefusal(&out, o.Call)
+	}
+	return out
+}
+
+func (a *Audit) checkRefusal(out *violations, c Call) {
+	if c.Code == 0 || c.Code.Effect() != result.NotRun {
+		return
+	}
+	if started := a.starts[c.Request]; len(started) > 0 {
+		out.add(NotRun, c.Request, "refused with %s, but %d starts were counted", c.Code, len(started))
+	}
+}
