--- a/cmd/pistachioshore/check.go
+++ b/cmd/pistachioshore/check.go
@@ -1,32 +1,87 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"os"
 
 	"github.com/cockroachdb/errors"
 
+	"pistachioshore.dev/catalog"
 	"pistachioshore.dev/codec"
+	"pistachioshore.dev/result"
 )
 
 // checkCommand holds the flags of a configuration check.
 type checkCommand struct {
-	File string `arg:"" type:"existingfile" help:"Configuration file in YAML or JSON."`
+	File   string `arg:"" type:"existingfile" help:"Configuration file in YAML or JSON."`
+	Report string `enum:"text,json" default:"text" help:"Form of the report: text with one line per fault, or one JSON object."`
 }
 
-// Run prints each fault of the file.
+// checkReport is the outcome of a check.
+type checkReport struct {
+	File     string       `json:"file"`
+	Valid    bool         `json:"valid"`
+	Firm     string       `json:"firm,omitempty"`
+	Revision uint64       `json:"revision,omitempty"`
+	Digest   string       `json:"digest,omitempty"`
+	Faults   []checkFault `json:"faults"`
+}
+
+// checkFault is one fault of the file.
+type checkFault struct {
+	Code    int    `json:"code"`
+	Name    string `json:"name"`
+	Path    string `json:"path"`
+	Value   string `json:"value,omitempty"`
+	Allowed string `json:"allowed,omitempty"`
+	Detail  string `json:"detail,omitempty"`
+}
+
+// Run prints each fault of the file; the exit status tells whether an entry VM would accept it.
 func (c *checkCommand) Run(out output) error {
 	raw, err := os.ReadFile(c.File)
 	if err != nil {
 		return errors.Wrap(err, "read configuration")
 	}
 	cfg, faults := codec.ParseConfig(raw)
+	if c.Report == "json" {
+		err = json.NewEncoder(out).Encode(c.report(cfg, faults))
+	} else {
+		err = printCheck(out, cfg, faults)
+	}
+	if err == nil && len(faults) > 0 {
+		return exitStatus(exitRefused)
+	}
+	return errors.Wrap(err, "print report")
+}
+
+func (c *checkCommand) report(cfg *catalog.Config, faults []*result.Error) checkReport {
+	r := checkReport{File: c.File, Valid: len(faults) == 0, Faults: []checkFault{}}
 	for _, f := range faults {
-		fmt.Fprintln(out, f)
+		r.Faults = append(r.Faults, checkFault{
+			Code: int(f.Code), Name: f.Code.String(), Path: f.Path, Value: f.Value, Allowed: f.Allowed, Detail: f.Detail,
+		})
+	}
+	if r.Valid {
+		r.Firm, r.Revision, r.Digest = cfg.Firm, cfg.Revision, digestText(cfg)
+	}
+	return r
+}
+
+func printCheck(out output, cfg *catalog.Config, faults []*result.Error) error {
+	for _, f := range faults {
+		if _, err := fmt.Fprintln(out, f); err != nil {
+			return err
+		}
 	}
 	if len(faults) > 0 {
-		return exitStatus(exitRefused)
+		return nil
 	}
-	fmt.Fprintf(out, "revision %d of firm %s is valid, digest %016x\n", cfg.Revision, cfg.Firm, cfg.Digest)
-	return nil
+	_, err := fmt.Fprintf(out, "revision %d of firm %s is valid, digest %s\n", cfg.Revision, cfg.Firm, digestText(cfg))
+	return err
+}
+
+func digestText(cfg *catalog.Config) string {
+	return fmt.Sprintf("%016x", cfg.Digest)
 }
