--- a/telemetry/telemetry.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package telemetry sets up logs, metrics and traces.
-package telemetry
