--- a/entry/vm/dispatch.go
+++ b/entry/vm/dispatch.go
@@ -28,6 +28,7 @@
 		}
 		vm.attempts.add(keyOf(it.job.Key), sentAttempt{owner: owner, idempotent: it.job.Idempotent, deliver: it.deliver})
 		if owner == vm.settings.Address {
+			vm.reached(Queued, it.job.Payload.requestID)
 			vm.follow(vm.owned.Enqueue(vm.now(), it.upstream, it.job))
 			continue
 		}
@@ -53,9 +54,12 @@
 
 // answer hands the part of an attempt to whoever waits for it; a second part is dropped.
 func (vm *VM) answer(k attemptKey, p part) {
-	if s, ok := vm.attempts.take(k); ok {
-		vm.events.Submit(func() { s.deliver(p) })
+	s, ok := vm.attempts.take(k)
+	if !ok {
+		vm.reached(LatePart, "")
+		return
 	}
+	vm.events.Submit(func() { s.deliver(p) })
 }
 
 // withdraw cancels attempts whose parts are no longer needed.
--- a/entry/vm/order.go
+++ b/entry/vm/order.go
@@ -64,6 +64,8 @@
 	}
 	ctx, span := vm.startOrderSpan(ctx, o)
 	defer span.End()
+	vm.reached(Accepted, o.ID)
+	defer vm.reached(Answered, o.ID)
 	var out entry.Outcome
 	var err error
 	if o.Permit.Issuer == vm.settings.Address {
@@ -202,11 +204,13 @@
 	if _, err := vm.mayRun(ctx, fingerprint, deadline); err != nil {
 		return entry.Outcome{Code: codeOf(err)}
 	}
+	vm.reached(Permitted, o.ID)
 	plan, ok := orderPlan(cfg, route, o.Key)
 	if !ok || len(plan.Replicas) == 0 {
 		vm.reportRun(fingerprint, quarantine.NotRun, "")
 		return entry.Outcome{Code: plan.Refused}
 	}
+	vm.reached(SnapshotPinned, o.ID)
 	job := orderJob{order: o, class: route.Class, fingerprint: fingerprint, deadline: deadline.Add(-orderMargin), shard: plan.Shard.Name, group: plan.Shard.Group, snapshot: cfg.Current, id: vm.nextID.Add(1), trace: traceOf(ctx)}
 	replicas := slices.Clone(plan.Replicas)
 	r := newRand()
@@ -281,6 +285,7 @@
 	p := part{code: result.OutcomeUnknown}
 	select {
 	case p = <-got:
+		vm.reached(Merging, j.order.ID)
 	case <-t.C:
 	case <-vm.ctx.Done():
 	}
--- a/entry/vm/owner.go
+++ b/entry/vm/owner.go
@@ -33,6 +33,7 @@
 				limit: sr.Limit, operation: sr.Operation, key: sr.Key, quantity: sr.Quantity, trace: sr.TraceParent,
 			},
 		}
+		vm.reached(Queued, sr.RequestID)
 		vm.follow(vm.owned.Enqueue(now, sr.Upstream, job))
 	}
 }
@@ -62,7 +63,9 @@
 	reply := transport.Reply{Code: result.Unreachable}
 	if conn := vm.connection(ctx, s); conn != nil {
 		o.Connected = true
+		vm.reached(Sent, s.Job.Payload.requestID)
 		reply = conn.Do(ctx, call(s))
+		vm.reached(Returned, s.Job.Payload.requestID)
 	}
 	o.Code, o.Incarnation, o.Elapsed = reply.Code, reply.Incarnation, time.Since(began)
 	f := vm.owned.Finish(vm.now(), o)
--- a/entry/vm/query.go
+++ b/entry/vm/query.go
@@ -34,6 +34,8 @@
 		return gather.Answer{}, vm.refused(result.New(result.Overloaded, "too many requests of this class are under way"))
 	}
 	defer vm.admission.Done(r.class)
+	vm.reached(Accepted, q.ID)
+	defer vm.reached(Answered, q.ID)
 	ctx, span := vm.startQuerySpan(ctx, q)
 	defer span.End()
 	deadline := now.Add(r.deadline - hopMargin)
@@ -115,6 +117,7 @@
 	if err != nil {
 		return gather.Answer{}, false, err
 	}
+	vm.reached(Permitted, q.ID)
 	a.plan = gather.Plan{
 		Snapshot: cfg.Current, Revision: cfg.Revision, Limit: r.limit, Deadline: deadline,
 		MinimumCoverage: r.route.MinimumCoverage, StragglerWait: r.route.StragglerWait, Canary: canary,
@@ -123,6 +126,7 @@
 		a.plan.Shards = append(a.plan.Shards, shardPlan(cfg, s))
 		a.ids = append(a.ids, vm.nextID.Add(1))
 	}
+	vm.reached(SnapshotPinned, q.ID)
 	a.state = gather.New(a.plan, vm.chooser, vm.routes.of(r.route), newRand())
 	return a.run(ctx)
 }
@@ -269,6 +273,7 @@
 
 // take passes a part to the query and its timing to the replica choice.
 func (a *activeQuery) take(at gather.Attempt, group string, sent time.Time, p part) {
+	a.vm.reached(Merging, a.query.ID)
 	now := a.vm.now()
 	a.vm.chooser.Observe(now, group, at.Server, observation(now.Sub(sent), p))
 	a.follow(a.state.Part(now, gather.Part{
--- a/entry/vm/vm.go
+++ b/entry/vm/vm.go
@@ -59,6 +59,7 @@
 	Log      log.Logger
 	Counters *telemetry.Counters
 	Tracer   trace.Tracer
+	Watcher  Watcher // nil outside tests
 }
 
 // VM is one entry VM.
