Keep a permit consumed when its order was not run

Cause: a not-run outcome made the permit consumable again, so a delayed duplicate of the order could run after its caller had been told "not run" and had ordered again with a new permit. The outcome is now kept like any other.

--- a/permit/book.go
+++ b/permit/book.go
@@ -11,7 +11,7 @@
 type progress uint8
 
 const (
-	unused progress = iota // never run, or certain not to have run
+	unused progress = iota // never consumed
 	running
 	ended
 )
@@ -107,12 +107,8 @@
 	}
 	b.counts.Running--
 	close(e.done)
-	if o.Code.Effect() == result.NotRun {
-		e.progress = unused
-	} else {
-		e.progress = ended
-		e.outcome = o
-	}
+	e.progress = ended
+	e.outcome = o
 	b.expire(now)
 }
 
--- a/permit/table.go
+++ b/permit/table.go
@@ -36,8 +36,9 @@
 	})
 }
 
-// Finish records the outcome of an execution and releases the callers that wait for it. An outcome
-// that is certain not to have run makes the permit consumable again until it expires.
+// Finish records the outcome of an execution and releases the callers that wait for it. A permit
+// stays consumed when its request was certainly not run: otherwise a delayed duplicate of the request
+// could run after the caller was told "not run".
 //
 // It is called exactly once for each Run decision: a second call for an earlier execution would be
 // taken for the outcome of the one that is under way.
