Report each canary request once, and give true reasons for missing shards

Cause: a canary that was not run, or whose leave arrived late, was never reported, so the coordinator counted it as lost and could quarantine an innocent request. A large configuration is asked for from one peer at a time.

--- a/entry/vm/canary.go
+++ b/entry/vm/canary.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"sync"
 	"time"
 
 	"pistachioshore.dev/codec"
@@ -109,7 +110,10 @@
 		vm.quarantine.Learn(vm.now(), m.Fingerprint, a)
 		return
 	}
-	vm.asked.deliver(m.ID, canaryReply{a})
+	if !vm.asked.deliver(m.ID, canaryReply{a}) && a.Verdict == quarantine.Canary {
+		// The request has given up waiting, so the leave for its canary request goes back.
+		vm.reportRun(m.Fingerprint, quarantine.NotRun, "")
+	}
 }
 
 // reportRun tells the coordinator of a fingerprint how a run of it ended.
@@ -165,3 +169,51 @@
 	}
 	return quarantine.NotRun
 }
+
+// canaries keeps count of the canary requests that one request was allowed, because the coordinator
+// expects one report for each. The owner VM of the upstream reports suspected crashes itself.
+type canaries struct {
+	vm          *VM
+	fingerprint uint64
+
+	mu   sync.Mutex
+	open int
+}
+
+func (c *canaries) granted() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.open++
+}
+
+// lost notes a canary request whose report comes from the owner VM, or from nobody if that is gone.
+func (c *canaries) lost() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.open = max(c.open-1, 0)
+}
+
+// succeeded reports a success and gives back what is left.
+func (c *canaries) succeeded() {
+	if c.take() {
+		c.vm.reportRun(c.fingerprint, quarantine.Succeeded, "")
+	}
+	c.end()
+}
+
+// end gives back every canary request that has neither succeeded nor been lost.
+func (c *canaries) end() {
+	for c.take() {
+		c.vm.reportRun(c.fingerprint, quarantine.NotRun, "")
+	}
+}
+
+func (c *canaries) take() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.open == 0 {
+		return false
+	}
+	c.open--
+	return true
+}
--- a/entry/vm/config.go
+++ b/entry/vm/config.go
@@ -20,6 +20,8 @@
 	vmListTime  = time.Second            // between reads of the list of VMs
 	drainGrace  = 2 * time.Second        // a drained VM serves on while the load balancer learns that it is not ready
 	peerAskTime = 1500 * time.Millisecond
+	askAgain    = time.Second // before another VM is asked for a configuration already asked for
+	smallTier   = 16          // VMs; their watches cost the platform under 2 reads a second
 )
 
 // watchConfig keeps reading the published configuration until the VM stops.
@@ -27,7 +29,7 @@
 	tag := ""
 	for vm.ctx.Err() == nil {
 		wait := watchTime
-		if tag == "" || !vm.fleet.Watches() {
+		if tag == "" || !vm.watches() {
 			wait = 0
 		}
 		published, err := vm.to.Platform.Config(vm.ctx, tag, wait)
@@ -40,16 +42,22 @@
 		if published.Changed {
 			vm.acceptConfig(published.Value)
 		}
-		if !vm.fleet.Watches() {
+		if !vm.watches() {
 			vm.waitForWatch(pollTime)
 		}
 	}
 }
 
+// watches reports whether this VM watches the platform. In a small tier all do, so that a change is
+// seen within seconds while any one of them reaches the platform.
+func (vm *VM) watches() bool {
+	return len(vm.fleet.Peers(vm.now())) < smallTier || vm.fleet.Watches()
+}
+
 // waitForWatch waits for the next poll, or until this VM has become a watcher.
 func (vm *VM) waitForWatch(d time.Duration) {
 	until := vm.now().Add(d)
-	for vm.now().Before(until) && !vm.fleet.Watches() {
+	for vm.now().Before(until) && !vm.watches() {
 		if !vm.wait(retryDelay) {
 			return
 		}
@@ -80,8 +88,12 @@
 			peers = append(peers, v.Address)
 		}
 	}
+	before := vm.vmsInZone()
 	vm.fleet.List(vm.now(), listed)
 	vm.contacts.listed(peers)
+	if cfg := vm.catalog.InForce(); cfg != nil && vm.vmsInZone() != before {
+		vm.applyConfig()
+	}
 }
 
 // acceptConfig checks a published configuration and puts it in force if it is the highest.
@@ -148,6 +160,9 @@
 	if revision == 0 || (cfg != nil && (revision < cfg.Revision || (revision == cfg.Revision && digest <= cfg.Digest))) {
 		return
 	}
+	if !vm.contacts.mayAsk(vm.now(), revision, digest) {
+		return
+	}
 	m := &wire.ConfigRequest{}
 	if cfg != nil {
 		m.Revision, m.Digest = cfg.Revision, cfg.Digest
--- a/entry/vm/contacts.go
+++ b/entry/vm/contacts.go
@@ -20,10 +20,18 @@
 	silent    map[netip.AddrPort]bool // listed VMs that were never heard
 	everHeard map[netip.AddrPort]bool
 	drained   time.Time
+	asked     configAsk
 	tick      time.Time // of the last tick
 	heartbeat time.Time // when the last one was sent
 }
 
+// configAsk is the configuration that a peer was last asked for.
+type configAsk struct {
+	revision uint64
+	digest   uint64
+	at       time.Time
+}
+
 func newContacts() *contacts {
 	return &contacts{state: table.NewGuarded(table.RankPending, contactState{
 		silent: map[netip.AddrPort]bool{}, everHeard: map[netip.AddrPort]bool{},
@@ -94,3 +102,15 @@
 func (c *contacts) lastTick() time.Time {
 	return table.Read(c.state, func(s *contactState) time.Time { return s.tick })
 }
+
+// mayAsk reports whether a peer should be asked for a configuration, and notes that it is. The
+// value can be large, so it is not asked for again while another VM's answer may be on its way.
+func (c *contacts) mayAsk(now time.Time, revision, digest uint64) bool {
+	return table.Read(c.state, func(s *contactState) bool {
+		if s.asked.revision == revision && s.asked.digest == digest && now.Sub(s.asked.at) < askAgain {
+			return false
+		}
+		s.asked = configAsk{revision, digest, now}
+		return true
+	})
+}
--- a/entry/vm/order.go
+++ b/entry/vm/order.go
@@ -201,13 +201,18 @@
 
 // runOnce tries replicas in turn for as long as each says that it has not run the order.
 func (vm *VM) runOnce(ctx context.Context, cfg *catalog.Config, route *catalog.Route, o entry.Order, fingerprint uint64, deadline time.Time) entry.Outcome {
-	if _, err := vm.mayRun(ctx, fingerprint, deadline); err != nil {
+	canary, err := vm.mayRun(ctx, fingerprint, deadline)
+	if err != nil {
 		return entry.Outcome{Code: codeOf(err)}
 	}
+	c := canaries{vm: vm, fingerprint: fingerprint}
+	if canary {
+		c.granted()
+	}
+	defer c.end()
 	vm.reached(Permitted, o.ID)
 	plan, ok := orderPlan(cfg, route, o.Key)
 	if !ok || len(plan.Replicas) == 0 {
-		vm.reportRun(fingerprint, quarantine.NotRun, "")
 		return entry.Outcome{Code: plan.Refused}
 	}
 	vm.reached(SnapshotPinned, o.ID)
@@ -223,17 +228,13 @@
 			break
 		}
 	}
-	vm.reportOrder(fingerprint, last.Code)
-	return last
-}
-
-func (vm *VM) reportOrder(fingerprint uint64, code result.Code) {
-	switch {
-	case code == result.Executed:
-		vm.reportRun(fingerprint, quarantine.Succeeded, "")
-	case code.Effect() == result.NotRun:
-		vm.reportRun(fingerprint, quarantine.NotRun, "")
+	switch last.Code {
+	case result.Executed:
+		c.succeeded()
+	case result.ConnectionLost:
+		c.lost()
 	}
+	return last
 }
 
 // orderPlan finds the shard whose key range holds the order's key, or the group's first shard.
--- a/entry/vm/peers.go
+++ b/entry/vm/peers.go
@@ -48,7 +48,7 @@
 	case m.ConfigRequest != nil:
 		vm.receiveConfigRequest(from)
 	case m.ConfigValue != nil:
-		vm.acceptConfig(m.ConfigValue.Value)
+		vm.requests.Submit(func() { vm.acceptConfig(m.ConfigValue.Value) }) // checking a large value takes long
 	case m.OrderResult != nil:
 		vm.receiveOrderResult(m.OrderResult)
 	case m.CanaryRequest != nil:
--- a/entry/vm/query.go
+++ b/entry/vm/query.go
@@ -41,14 +41,24 @@
 	deadline := now.Add(r.deadline - hopMargin)
 	a, restart, err := vm.gather(ctx, q, cfg, r, deadline)
 	if newer := vm.catalog.InForce(); err == nil && restart && newer.Current != cfg.Current {
-		if again, err := resolve(newer, q); err == nil {
-			a, _, err = vm.gather(ctx, q, newer, again, deadline)
-			return a, vm.answered(a, err)
-		}
+		a = vm.startOver(ctx, q, newer, deadline, a)
 	}
 	return a, vm.answered(a, err)
 }
 
+// startOver tries a query again on a newer snapshot; the first answer stands if that fails.
+func (vm *VM) startOver(ctx context.Context, q entry.Query, cfg *catalog.Config, deadline time.Time, first gather.Answer) gather.Answer {
+	r, err := resolve(cfg, q)
+	if err != nil {
+		return first
+	}
+	again, _, err := vm.gather(ctx, q, cfg, r, deadline)
+	if err != nil || again.Share() < first.Share() {
+		return first
+	}
+	return again
+}
+
 // accepting returns the configuration in force if the VM takes new requests.
 func (vm *VM) accepting(now time.Time) (*catalog.Config, error) {
 	cfg := vm.catalog.InForce()
@@ -113,10 +123,15 @@
 	}
 	a := &activeQuery{vm: vm, query: q, cfg: cfg, route: r, done: make(chan struct{}), trace: traceOf(ctx)}
 	a.fingerprint = fingerprintOf(q, r)
+	a.canaries = canaries{vm: vm, fingerprint: a.fingerprint}
 	canary, err := vm.mayRun(ctx, a.fingerprint, deadline)
 	if err != nil {
 		return gather.Answer{}, false, err
 	}
+	if canary {
+		a.canaries.granted()
+	}
+	defer a.canaries.end()
 	vm.reached(Permitted, q.ID)
 	a.plan = gather.Plan{
 		Snapshot: cfg.Current, Revision: cfg.Revision, Limit: r.limit, Deadline: deadline,
@@ -166,6 +181,7 @@
 	state       *gather.Query
 	ids         []uint64 // sub-request number of each shard
 	fingerprint uint64
+	canaries    canaries
 	trace       string
 
 	once    sync.Once
@@ -201,7 +217,7 @@
 // follow does what a step of the query asks for.
 func (a *activeQuery) follow(st gather.Step) {
 	if st.CanaryOK {
-		a.vm.reportRun(a.fingerprint, quarantine.Succeeded, "")
+		a.canaries.succeeded()
 	}
 	if st.AskAgain {
 		a.vm.requests.Submit(a.askAgain)
@@ -232,6 +248,9 @@
 	if err != nil {
 		refused = codeOf(err)
 	}
+	if canary {
+		a.canaries.granted()
+	}
 	a.follow(a.state.Resume(a.vm.now(), canary, refused))
 }
 
@@ -274,6 +293,9 @@
 // take passes a part to the query and its timing to the replica choice.
 func (a *activeQuery) take(at gather.Attempt, group string, sent time.Time, p part) {
 	a.vm.reached(Merging, a.query.ID)
+	if p.crashed || p.code == result.ConnectionLost {
+		a.canaries.lost()
+	}
 	now := a.vm.now()
 	a.vm.chooser.Observe(now, group, at.Server, observation(now.Sub(sent), p))
 	a.follow(a.state.Part(now, gather.Part{
--- a/entry/vm/state.go
+++ b/entry/vm/state.go
@@ -107,13 +107,15 @@
 	r.waiting.With(func(m *map[uint64]chan T) { delete(*m, id) })
 }
 
-// deliver passes a reply on; a reply to a request that was given up is dropped.
-func (r *replies[T]) deliver(id uint64, reply T) {
-	r.waiting.With(func(m *map[uint64]chan T) {
-		if ch, ok := (*m)[id]; ok {
-			ch <- reply
+// deliver passes a reply on; it reports false for a request that was given up.
+func (r *replies[T]) deliver(id uint64, reply T) bool {
+	return table.Read(r.waiting, func(m *map[uint64]chan T) bool {
+		ch, ok := (*m)[id]
+		if ok {
+			ch <- reply // buffered, and sent to only once
 			delete(*m, id)
 		}
+		return ok
 	})
 }
 
--- a/gather/query.go
+++ b/gather/query.go
@@ -34,6 +34,7 @@
 	attempts []attempt
 	part     *Part
 	failed   result.Code
+	mayRun   result.Code // outcome of an attempt that may have run
 }
 
 // ended reports whether the shard has an outcome.
@@ -197,6 +198,9 @@
 		return st
 	}
 	sh.attempts[p.Number-1].pending = false
+	if p.Code.Effect() == result.MayHaveRun {
+		sh.mayRun = p.Code
+	}
 	if p.Code == result.Complete && p.Snapshot != s.plan.Snapshot {
 		s.stale++
 		p.Code = result.SnapshotGone
@@ -283,11 +287,17 @@
 	return s.budget.AllowRetry()
 }
 
+// fail gives a shard up. Its reason says "not run" only if that holds for every attempt.
 func (s *state) fail(i int, code result.Code) {
-	if s.shards[i].failed == 0 && s.shards[i].part == nil {
-		s.shards[i].failed = code
-		s.open--
+	sh := &s.shards[i]
+	if sh.ended() {
+		return
+	}
+	if sh.mayRun != 0 && code.Effect() == result.NotRun {
+		code = sh.mayRun
 	}
+	sh.failed = code
+	s.open--
 }
 
 // failAll ends every shard that is still open.
@@ -368,14 +378,12 @@
 				st.Cancel = append(st.Cancel, a.Attempt)
 			}
 		}
-		if !sh.ended() {
-			sh.failed = result.Late
-			if len(sh.attempts) == 0 {
-				sh.failed = result.DeadlineExpired
-			}
+		code := result.Late
+		if len(sh.attempts) == 0 {
+			code = result.DeadlineExpired
 		}
+		s.fail(i, code)
 	}
-	s.open = 0
 }
 
 // worthRestart reports whether shards lost to a gone snapshot, and nothing else, keep the answer
