--- /dev/null
+++ b/upstream/warmup.go
@@ -0,0 +1,51 @@
+package upstream
+
+// warmup is how far an upstream has got since its cold start.
+type warmup struct {
+	doublings int // of the cold-start limit
+	finished  int // answers since the last doubling
+}
+
+// limit returns how many requests may run at a time.
+func (w *warmup) limit(sp spec) int {
+	limit := sp.cold
+	for i := 0; i < w.doublings && limit < sp.slots; i++ {
+		limit *= 2
+	}
+	return min(limit, sp.slots)
+}
+
+// reset takes the upstream for cold.
+func (w *warmup) reset() {
+	*w = warmup{}
+}
+
+// answered counts one answer and doubles the limit after enough of them.
+func (w *warmup) answered(sp spec) {
+	if w.limit(sp) >= sp.slots {
+		return
+	}
+	w.finished++
+	if w.finished >= sp.warmAfter {
+		w.doublings++
+		w.finished = 0
+	}
+}
+
+// shed halves the limit, because an upstream that sheds within its limit bears less than was believed.
+func (w *warmup) shed() {
+	w.doublings = max(0, w.doublings-1)
+	w.finished = 0
+}
+
+// resume continues an earlier owner's warm-up with the highest limit that does not exceed its own.
+func (w *warmup) resume(sp spec, limit, finished int) {
+	*w = warmup{finished: max(0, finished)}
+	for {
+		next := warmup{doublings: w.doublings + 1}
+		if next.limit(sp) > limit || next.limit(sp) == w.limit(sp) {
+			return
+		}
+		w.doublings++
+	}
+}
