Keep ticks and heartbeats apart from parts, and own closes apart from crashes

Cause 1: ticks shared eight workers with the parts of queries. On a saturated machine a backlog looked like a pause of the process, and the VM dropped its ownership. Ruled out: garbage collection and the fence itself. Cause 2: a call that this VM gave up was reported as connection-lost, which counts as a suspected crash and makes the upstream cold; only the other end's close does now. Connections are closed before new ones are opened, as the table counts them. Cause 3: a coordinator that took over 50 ms was passed over for a second one, which could allow two more canary requests.

--- a/entry/vm/canary.go
+++ b/entry/vm/canary.go
@@ -14,8 +14,11 @@
 
 // Bounds of the exchange with the coordinator VM of a fingerprint.
 const (
-	coordinatorTime = 50 * time.Millisecond // an answer takes one round trip between zones
-	coordinators    = 2                     // VMs asked in turn before this VM decides alone
+	// coordinatorShare is the part of the time left that one coordinator may take. A second one that
+	// decides as well may allow two more canary requests, so a slow answer is waited for.
+	coordinatorShare = 4
+
+	coordinators = 2 // VMs asked in turn before this VM decides alone
 )
 
 // canaryReply is a coordinator's answer.
@@ -86,7 +89,7 @@
 	if !vm.to.Peers.Send(c, m) {
 		return quarantine.Answer{}, false
 	}
-	t := time.NewTimer(coordinatorTime)
+	t := time.NewTimer(time.Until(deadline) / coordinatorShare)
 	defer t.Stop()
 	select {
 	case r := <-reply:
--- a/entry/vm/drain.go
+++ b/entry/vm/drain.go
@@ -37,7 +37,7 @@
 		switch a {
 		case shutdown.AnnounceLeaving:
 			vm.fleet.Leave(vm.now())
-			vm.events.Submit(func() { vm.sendHeartbeat(vm.now()) })
+			vm.control.Submit(func() { vm.sendHeartbeat(vm.now()) })
 		case shutdown.RefuseNew:
 			// From here on an order can only find the outcome of its first run, or that it never ran.
 			vm.permits.Revoke(vm.now())
--- a/entry/vm/owner.go
+++ b/entry/vm/owner.go
@@ -38,17 +38,18 @@
 	}
 }
 
-// follow does what the table of owned upstreams asks for.
+// follow does what the table of owned upstreams asks for. Connections are closed first, because the
+// table counts them as gone when it asks for new ones.
 func (vm *VM) follow(st upstream.Step[work]) {
+	for _, c := range st.Close {
+		vm.conns.close(c)
+	}
 	for _, r := range st.Refuse {
 		vm.respond(r.Job.Key, part{code: r.Code})
 	}
 	for _, s := range st.Start {
 		vm.calls.Submit(func() { vm.run(s) })
 	}
-	for _, c := range st.Close {
-		vm.conns.close(c)
-	}
 	for _, s := range st.Cancel {
 		vm.requests.Submit(func() { vm.cancelCall(s) })
 	}
--- a/entry/vm/peers.go
+++ b/entry/vm/peers.go
@@ -26,7 +26,12 @@
 		vm.requests.Submit(func() { vm.receiveOrder(from, m.OrderForward) })
 		return
 	}
-	vm.events.Submit(func() { vm.handle(from, m) })
+	switch m.Kind {
+	case codec.KindHeartbeat, codec.KindHandover, codec.KindConfigRequest, codec.KindConfigValue:
+		vm.control.Submit(func() { vm.handle(from, m) })
+	default:
+		vm.events.Submit(func() { vm.handle(from, m) })
+	}
 }
 
 // handle acts on one message; a message without the field that its kind names is ignored.
@@ -95,7 +100,7 @@
 
 // Refused notes that a VM does not accept connections.
 func (vm *VM) Refused(peer netip.AddrPort) {
-	vm.events.Submit(func() { vm.fleet.Refused(vm.now(), peer) })
+	vm.control.Submit(func() { vm.fleet.Refused(vm.now(), peer) })
 }
 
 // sendAgain sends a message, and tries again later while the connection to the VM is being replaced.
--- a/entry/vm/tick.go
+++ b/entry/vm/tick.go
@@ -23,7 +23,7 @@
 	if vm.contacts.heartbeatDue(now, s.Heartbeat) {
 		vm.sendHeartbeat(now)
 	}
-	vm.timers.At(now.Add(s.Tick), vm.tick)
+	vm.ticks.At(now.Add(s.Tick), vm.tick)
 }
 
 // acquireTime bounds the wait of readiness for the upstreams that this VM owns: a VM that waits
--- a/entry/vm/vm.go
+++ b/entry/vm/vm.go
@@ -28,7 +28,8 @@
 
 // Workers of the pools that do not wait for upstreams.
 const (
-	eventWorkers   = 8  // handle messages, timers and steps, and never block
+	controlWorkers = 2  // tick and handle heartbeats, so that a backlog of parts does not look like a pause
+	eventWorkers   = 8  // handle messages, timers and steps of requests, and never block
 	requestWorkers = 64 // bound the orders that other VMs have passed on
 )
 
@@ -88,9 +89,11 @@
 
 	nextID   atomic.Uint64
 	calls    *pool.Pool[func()]
+	control  *pool.Pool[func()]
 	events   *pool.Pool[func()]
 	requests *pool.Pool[func()]
 	timers   *pool.Timers[func()]
+	ticks    *pool.Timers[func()]
 
 	ctx    context.Context // ends the background reads
 	cancel context.CancelFunc
@@ -129,10 +132,12 @@
 func (vm *VM) Start() {
 	run := func(task func()) { task() }
 	vm.calls = pool.New(vm.settings.Workers, run)
+	vm.control = pool.New(controlWorkers, run)
 	vm.events = pool.New(eventWorkers, run)
 	vm.requests = pool.New(requestWorkers, run)
 	vm.timers = pool.NewTimers[func()](vm.events)
-	vm.events.Submit(vm.tick)
+	vm.ticks = pool.NewTimers[func()](vm.control)
+	vm.control.Submit(vm.tick)
 	vm.reads.Go(vm.watchConfig)
 	vm.reads.Go(vm.readVMs)
 }
@@ -147,9 +152,11 @@
 func (vm *VM) Close() {
 	vm.cancel()
 	vm.reads.Wait()
+	vm.ticks.Stop()
 	vm.timers.Stop()
 	vm.requests.Stop()
 	vm.calls.Stop()
+	vm.control.Stop()
 	vm.events.Stop()
 	vm.conns.closeAll()
 }
--- a/transport/rest/rest.go
+++ b/transport/rest/rest.go
@@ -76,9 +76,9 @@
 	return c.watched, nil
 }
 
-// OnLost has fn called once the other end or a call has ended the connection.
+// OnLost has fn called once the other end has closed or reset the connection.
 func (c *conn) OnLost(fn func()) {
-	c.watched.onLost(fn)
+	c.watched.onEnded(fn)
 }
 
 // Close ends the connection.
@@ -97,9 +97,11 @@
 		return transport.Reply{Code: failure(ctx, c.watched.written.Load() > before)}
 	}
 	defer func() { _ = resp.Body.Close() }()
-	reply := decode(resp, c.maxBody)
-	if reply.Code == result.ConnectionLost {
+	reply, err := decode(resp, c.maxBody)
+	if err != nil {
+		ended := c.watched.hasEnded()
 		_ = c.Close()
+		reply.Code = bodyFailure(ctx, ended)
 	}
 	return reply
 }
@@ -138,42 +140,53 @@
 	switch {
 	case !written:
 		return result.Unreachable
-	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return result.Late
+	case ctx.Err() != nil:
+		return result.OutcomeUnknown // given up here, which says nothing about the upstream
 	default:
 		return result.ConnectionLost
 	}
 }
 
-func decode(resp *http.Response, limit int64) transport.Reply {
+// bodyFailure names the outcome of a call whose response could not be read to its end.
+func bodyFailure(ctx context.Context, ended bool) result.Code {
+	if ended && ctx.Err() == nil {
+		return result.ConnectionLost
+	}
+	if ctx.Err() != nil {
+		return failure(ctx, true)
+	}
+	return result.UpstreamFailed
+}
+
+func decode(resp *http.Response, limit int64) (transport.Reply, error) {
 	reply := transport.Reply{Incarnation: resp.Header.Get("Incarnation")}
 	reply.Code = statusCode(resp)
 	if reply.Code != result.Complete {
-		return reply
+		return reply, nil
 	}
 	if resp.Request.URL.Path == "/v1/execute" {
 		return decodeExecute(resp, limit, reply)
 	}
 	v, err := codec.DecodeJSON[wire.SearchResponse](resp.Body, int(limit))
 	if err != nil {
-		reply.Code = result.ConnectionLost
-		return reply
+		return reply, err
 	}
 	reply.Snapshot = v.Snapshot
 	reply.Records = codec.FromWireRecords(v.Records)
 	reply.Matched = v.Matched
-	return reply
+	return reply, nil
 }
 
-func decodeExecute(resp *http.Response, limit int64, reply transport.Reply) transport.Reply {
+func decodeExecute(resp *http.Response, limit int64, reply transport.Reply) (transport.Reply, error) {
 	v, err := codec.DecodeJSON[wire.ExecuteResponse](resp.Body, int(limit))
 	if err != nil {
-		reply.Code = result.ConnectionLost
-		return reply
+		return reply, err
 	}
 	reply.Code = result.Executed
 	reply.Receipt = v.Receipt
-	return reply
+	return reply, nil
 }
 
 func statusCode(resp *http.Response) result.Code {
--- a/transport/rest/watched.go
+++ b/transport/rest/watched.go
@@ -6,21 +6,22 @@
 	"sync/atomic"
 )
 
-// watchedConn counts what was written and tells when the connection ends.
+// watchedConn counts what was written and tells when the other end closes or resets the connection.
 type watchedConn struct {
 	net.Conn
 	written atomic.Int64
 
-	mu   sync.Mutex
-	lost bool
-	fn   func()
+	mu     sync.Mutex
+	closed bool // by this end
+	ended  bool // by the other end
+	fn     func()
 }
 
-// Read marks the connection lost when the other end has closed or reset it.
+// Read notices when the other end has closed or reset the connection.
 func (w *watchedConn) Read(b []byte) (int, error) {
 	n, err := w.Conn.Read(b)
 	if err != nil {
-		w.markLost()
+		w.markEnded()
 	}
 	return n, err
 }
@@ -31,27 +32,36 @@
 	return w.Conn.Write(b)
 }
 
-// Close ends the connection.
+// Close ends the connection from this end, which says nothing about the upstream.
 func (w *watchedConn) Close() error {
-	w.markLost()
+	w.mu.Lock()
+	w.closed = true
+	w.mu.Unlock()
 	return w.Conn.Close()
 }
 
-// onLost has fn called when the connection ends, or at once if it has ended.
-func (w *watchedConn) onLost(fn func()) {
+// onEnded has fn called when the other end ends the connection, or at once if it has.
+func (w *watchedConn) onEnded(fn func()) {
 	w.mu.Lock()
-	lost := w.lost
+	ended := w.ended
 	w.fn = fn
 	w.mu.Unlock()
-	if lost {
+	if ended {
 		fn()
 	}
 }
 
-func (w *watchedConn) markLost() {
+// hasEnded reports whether the other end has ended the connection.
+func (w *watchedConn) hasEnded() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.ended
+}
+
+func (w *watchedConn) markEnded() {
 	w.mu.Lock()
-	first := !w.lost
-	w.lost = true
+	first := !w.ended && !w.closed
+	w.ended = w.ended || first
 	fn := w.fn
 	w.mu.Unlock()
 	if first && fn != nil {
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -27,7 +27,7 @@
 type Conn interface {
 	// Do runs one call; the reply's code tells whether the upstream may have started it.
 	Do(ctx context.Context, call Call) Reply
-	// OnLost has fn called once when the connection can carry no further call; fn must not block.
+	// OnLost has fn called once when the other end has closed or reset the connection; fn must not block.
 	OnLost(fn func())
 	// Close ends the connection.
 	Close() error
