--- /dev/null
+++ b/fleet/rank.go
@@ -0,0 +1,62 @@
+package fleet
+
+import (
+	"encoding/binary"
+	"net/netip"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// candidate is a VM that takes part in a rendezvous decision.
+type candidate struct {
+	address netip.AddrPort
+	term    uint64
+}
+
+// weight returns the rendezvous weight of a VM for a key; buf is scratch space that it returns.
+func weight(buf []byte, vm netip.AddrPort, key []byte) (uint64, []byte) {
+	buf = vm.AppendTo(buf[:0])
+	buf = append(buf, 0)
+	buf = append(buf, key...)
+	return xxhash.Sum64(buf), buf
+}
+
+// highest returns the candidate with the highest weight, or the zero value if there are none.
+func highest(vms []candidate, key []byte) candidate {
+	var best candidate
+	var bestWeight uint64
+	var buf []byte
+	for _, c := range vms {
+		var w uint64
+		w, buf = weight(buf, c.address, key)
+		if !best.address.IsValid() || w > bestWeight || (w == bestWeight && c.address.Compare(best.address) < 0) {
+			best, bestWeight = c, w
+		}
+	}
+	return best
+}
+
+// rank returns the VMs ordered by falling weight for the key.
+func rank(vms []netip.AddrPort, key uint64) []netip.AddrPort {
+	return rankBytes(vms, binary.BigEndian.AppendUint64(nil, key))
+}
+
+func rankBytes(vms []netip.AddrPort, key []byte) []netip.AddrPort {
+	weights := make(map[netip.AddrPort]uint64, len(vms))
+	var buf []byte
+	for _, vm := range vms {
+		weights[vm], buf = weight(buf, vm, key)
+	}
+	ranked := slices.Clone(vms)
+	slices.SortFunc(ranked, func(a, b netip.AddrPort) int {
+		switch {
+		case weights[a] > weights[b]:
+			return -1
+		case weights[a] < weights[b]:
+			return 1
+		}
+		return a.Compare(b)
+	})
+	return ranked
+}
