--- a/entry/vm/owner.go
+++ b/entry/vm/owner.go
@@ -151,11 +151,11 @@
 		vm.to.Peers.Forget(peer)
 		_ = level.Info(vm.observe.Log).Log("msg", "VM lost", "vm", peer)
 	}
+	vm.handOver(now, c.Lost) // first: an upstream may be lost and acquired again between two ticks
 	for _, name := range c.Acquired {
 		vm.observe.Counters.OwnershipGained()
 		vm.follow(vm.owned.Adopt(now, name, vm.handovers.take(now, name)))
 	}
-	vm.handOver(now, c.Lost)
 }
 
 // handOver releases upstreams and passes their state to the new owner VMs, one message to each.
