Connect again to a VM that came back at its address

Cause: a VM with a new incarnation is lost and live at once. The old link was dropped, and only silence led to a new one, but the VM's own heartbeats kept arriving on its connection. Nothing could be sent to it, so its upstreams had no usable owner. Ruled out: ownership itself, which the fleet tables had settled.

--- a/entry/vm/owner.go
+++ b/entry/vm/owner.go
@@ -144,12 +144,15 @@
 		_ = level.Warn(vm.observe.Log).Log("msg", "the process was paused; ownership dropped")
 		vm.follow(vm.owned.Drop(now))
 	}
-	for _, peer := range c.Connect {
-		vm.to.Peers.Connect(peer)
-	}
 	for _, peer := range c.Died {
 		vm.to.Peers.Forget(peer)
-		_ = level.Info(vm.observe.Log).Log("msg", "VM lost", "vm", peer)
+		_ = level.Info(vm.observe.Log).Log("msg", "VM lost", "peer", peer)
+	}
+	if len(c.Died) > 0 {
+		vm.connectLive(now)
+	}
+	for _, peer := range c.Connect {
+		vm.to.Peers.Connect(peer)
 	}
 	vm.handOver(now, c.Lost) // first: an upstream may be lost and acquired again between two ticks
 	for _, name := range c.Acquired {
@@ -158,6 +161,16 @@
 	}
 }
 
+// connectLive connects to the VMs that are heard. A VM that came back with another incarnation at
+// its address is lost and live at once, and its heartbeats alone would not make this VM connect to it.
+func (vm *VM) connectLive(now time.Time) {
+	for _, p := range vm.fleet.Peers(now) {
+		if p.State == fleet.StateLive || p.State == fleet.StateSuspect {
+			vm.to.Peers.Connect(p.Address)
+		}
+	}
+}
+
 // handOver releases upstreams and passes their state to the new owner VMs, one message to each.
 func (vm *VM) handOver(now time.Time, losses []fleet.Loss) {
 	messages := map[netip.AddrPort]*wire.Handover{}
