Shed whole requests by class, and start no job that cannot end in time

Cause: at 150% load every query was admitted and lost a third of its shards, and upstreams worked on jobs whose deadline passed before their end, so most work was wasted. Ruled out: the machine (67% busy) and the hedges (fewer than without load). Change: the entry VM sheds background, then normal, then urgent requests, by the share of shards that recent answers lost to overload; the owner VM neither queues nor starts a job that cannot end before its deadline by the moving average.

--- a/entry/vm/order.go
+++ b/entry/vm/order.go
@@ -192,7 +192,7 @@
 	if vm.contacts.drainedFor(vm.now()) > drainGrace {
 		return entry.Outcome{Code: result.ZoneOut}
 	}
-	if !vm.admission.Admit(route.Class) {
+	if !vm.admit(vm.now(), route.Class) {
 		return entry.Outcome{Code: result.Overloaded}
 	}
 	defer vm.admission.Done(route.Class)
--- a/entry/vm/query.go
+++ b/entry/vm/query.go
@@ -30,8 +30,8 @@
 	if err != nil {
 		return gather.Answer{}, vm.refused(err)
 	}
-	if !vm.admission.Admit(r.class) {
-		return gather.Answer{}, vm.refused(result.New(result.Overloaded, "too many requests of this class are under way"))
+	if !vm.admit(now, r.class) {
+		return gather.Answer{}, vm.refused(result.New(result.Overloaded, "more requests of this class cannot be served in time"))
 	}
 	defer vm.admission.Done(r.class)
 	vm.reached(Accepted, q.ID)
@@ -59,6 +59,11 @@
 	return again
 }
 
+// admit reports whether a request of the class is let in; if so, admission.Done has to be called.
+func (vm *VM) admit(now time.Time, class catalog.Class) bool {
+	return vm.shedder.Admit(now, class, newRand()) && vm.admission.Admit(class)
+}
+
 // accepting returns the configuration in force if the VM takes new requests.
 func (vm *VM) accepting(now time.Time) (*catalog.Config, error) {
 	cfg := vm.catalog.InForce()
@@ -200,7 +205,21 @@
 	for range a.state.StaleParts() {
 		a.vm.observe.Counters.PartDropped()
 	}
-	return a.state.Answer(), a.restart, nil
+	answer := a.state.Answer()
+	a.vm.shedder.Observe(a.vm.now(), len(a.plan.Shards), overloaded(answer))
+	return answer, a.restart, nil
+}
+
+// overloaded counts the shards that an answer lacks because there was more work than time.
+func overloaded(a gather.Answer) int {
+	n := 0
+	for _, m := range a.Missing {
+		switch m.Code {
+		case result.Overloaded, result.DeadlineExpired, result.Late, result.UpstreamShed:
+			n++
+		}
+	}
+	return n
 }
 
 // abandon withdraws every attempt of a query that nobody waits for.
--- a/entry/vm/vm.go
+++ b/entry/vm/vm.go
@@ -76,6 +76,7 @@
 	quarantine *quarantine.Table
 	permits    *permit.Table
 	admission  *budget.Admission
+	shedder    *budget.Shedder
 	chooser    *balancer.Chooser
 	stopping   *shutdown.Machine
 
@@ -114,6 +115,7 @@
 		quarantine: quarantine.New(quarantine.Defaults()),
 		permits:    permit.New(s.Address, s.Incarnation, permit.Defaults()),
 		admission:  budget.NewAdmission(1),
+		shedder:    budget.NewShedder(),
 		chooser:    p.Chooser,
 		stopping:   shutdown.New(shutdown.Settings{BalancerLag: s.BalancerLag}),
 		attempts:   newAttempts(),
--- a/upstream/admission.go
+++ b/upstream/admission.go
@@ -33,7 +33,7 @@
 	if u.unreachable(now) {
 		return result.Unreachable
 	}
-	if u.wait(now, j) > j.Deadline.Sub(now) {
+	if wait := u.wait(now, j); wait > 0 && wait+u.service.mean > j.Deadline.Sub(now) {
 		return result.Overloaded
 	}
 	return s.makeRoom(u, j, step)
--- a/upstream/release.go
+++ b/upstream/release.go
@@ -13,7 +13,7 @@
 		if e == nil {
 			return
 		}
-		if !now.Before(e.Deadline) {
+		if u.tooLate(now, e.Deadline) {
 			s.refuse(u, e, result.DeadlineExpired, step)
 			continue
 		}
@@ -28,6 +28,16 @@
 	}
 }
 
+// tooLate reports whether a job could not end before its deadline, so that its work would be wasted.
+// While nothing runs, the job starts all the same: the moving average may come from a slower time, and
+// only an answer corrects it.
+func (u *server[P]) tooLate(now time.Time, deadline time.Time) bool {
+	if !now.Before(deadline) {
+		return true
+	}
+	return len(u.running) > 0 && deadline.Sub(now) < u.service.mean
+}
+
 // open reports whether work may start at the upstream at all.
 func (s *state[P]) open(now time.Time, u *server[P]) bool {
 	return u.owned && u.spec.barred == 0 && now.Sub(s.ticked) <= s.settings.Fence
