Name the fault of every peer connection and never follow upstreams' redirects

A peer frame far over the limit and a silent peer ended their connections without a numbered code: the WebSocket library's own limit and the cancelled read closed them first.

rest.Client followed redirects: a 303 from an upstream turned one order into 10 requests on the connection. A deadline that passes within an answer's body is late instead of connection-lost, which counted as a crash.

--- a/transport/rest/rest.go
+++ b/transport/rest/rest.go
@@ -64,7 +64,7 @@
 		maxBody: o.maxBody,
 	}
 	t := &http.Transport{DialContext: c.dial, MaxConnsPerHost: 1, DisableCompression: true}
-	c.client = &http.Client{Transport: otelhttp.NewTransport(t, o.trace...)}
+	c.client = &http.Client{Transport: otelhttp.NewTransport(t, o.trace...), CheckRedirect: answerAsIs}
 	return c
 }
 
@@ -100,10 +100,16 @@
 	reply := decode(resp, c.maxBody)
 	if reply.Code == result.ConnectionLost {
 		_ = c.Close()
+		reply.Code = failure(ctx, true)
 	}
 	return reply
 }
 
+// answerAsIs keeps a redirect from sending a call a second time.
+func answerAsIs(*http.Request, []*http.Request) error {
+	return http.ErrUseLastResponse
+}
+
 func (c *conn) send(ctx context.Context, call transport.Call) (*http.Response, error) {
 	path, body, err := encode(call)
 	if err != nil {
--- a/transport/socket/socket.go
+++ b/transport/socket/socket.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -137,7 +138,7 @@
 		return // Accept has answered with the reason
 	}
 	defer func() { _ = c.CloseNow() }()
-	c.SetReadLimit(int64(h.opts.frameLimit) + 1)
+	c.SetReadLimit(-1) // read bounds each message and names the fault, which the library's limit would not
 	if c.Subprotocol() != Subprotocol {
 		fault := result.Field(result.WrongSubprotocol, "Sec-WebSocket-Protocol", c.Subprotocol(), Subprotocol)
 		_ = c.Close(websocket.StatusPolicyViolation, fault.Error())
@@ -165,9 +166,18 @@
 
 // read returns the next message; a peer sends heartbeats, so a longer silence ends the connection.
 func (h *Hub) read(c *websocket.Conn) (*wire.Envelope, error) {
-	ctx, cancel := context.WithTimeout(h.ctx, h.opts.silence)
+	silent := time.AfterFunc(h.opts.silence, func() {
+		h.reject(c, result.New(result.Late, "no message for "+h.opts.silence.String()))
+	})
+	defer silent.Stop()
+	// A peer that is cut off cannot answer the close frame; the deadline ends its connection.
+	ctx, cancel := context.WithTimeout(h.ctx, h.opts.silence+h.opts.progress)
 	defer cancel()
-	_, frame, err := c.Read(ctx)
+	_, message, err := c.Reader(ctx)
+	if err != nil {
+		return nil, err
+	}
+	frame, err := io.ReadAll(io.LimitReader(message, int64(h.opts.frameLimit)+1))
 	if err != nil {
 		return nil, err
 	}
