--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	crand "crypto/rand"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -29,6 +30,9 @@
 	gin.SetMode(gin.ReleaseMode)
 	f := &Front{tier: tier, engine: gin.New()}
 	f.engine.Use(gin.CustomRecovery(recovered))
+	f.engine.HandleMethodNotAllowed = true
+	f.engine.NoMethod(noMethod)
+	f.engine.NoRoute(noRoute)
 	f.engine.POST("/v1/query", f.query)
 	f.engine.POST("/v1/permits", f.permit)
 	f.engine.POST("/v1/orders", f.order)
@@ -52,6 +56,18 @@
 	refuse(c, "", result.New(result.Internal, "the request handler failed"))
 }
 
+func noMethod(c *gin.Context) {
+	fault := result.Field(result.OutOfRange, "method", c.Request.Method, c.Writer.Header().Get("Allow"))
+	c.JSON(http.StatusMethodNotAllowed, codec.ToWireRefusal("", fault))
+}
+
+func noRoute(c *gin.Context) {
+	const maxQuoted = 80
+	path := c.Request.URL.EscapedPath()
+	fault := result.Field(result.OutOfRange, "path", path[:min(len(path), maxQuoted)], "the paths of docs/design.md, section 5")
+	c.JSON(http.StatusNotFound, codec.ToWireRefusal("", fault))
+}
+
 func (f *Front) ready(c *gin.Context) {
 	if !f.tier.Ready() {
 		c.Status(http.StatusServiceUnavailable)
@@ -62,7 +78,7 @@
 
 func (f *Front) query(c *gin.Context) {
 	id := crand.Text()
-	req, err := codec.DecodeJSON[wire.QueryRequest](c.Request.Body, f.tier.BodyLimit())
+	req, err := decode[wire.QueryRequest](c.Request.Body, f.tier.BodyLimit())
 	if err != nil {
 		refuse(c, id, err)
 		return
@@ -91,7 +107,7 @@
 
 func (f *Front) order(c *gin.Context) {
 	id := crand.Text()
-	req, err := codec.DecodeJSON[wire.OrderRequest](c.Request.Body, f.tier.BodyLimit())
+	req, err := decode[wire.OrderRequest](c.Request.Body, f.tier.BodyLimit())
 	if err != nil {
 		refuse(c, id, err)
 		return
@@ -110,6 +126,19 @@
 	c.JSON(http.StatusOK, codec.ToWireOutcome(id, out.Code, out.Receipt))
 }
 
+// decode reads a body; a fault that no field stands for is one of the body as a whole.
+func decode[T any](body io.Reader, limit int) (T, error) {
+	v, err := codec.DecodeJSON[T](body, limit)
+	if err == nil {
+		return v, nil
+	}
+	fault := codec.Fault(err)
+	if fault.Path == "" {
+		fault.Path, fault.Allowed = "body", "one JSON object of at most "+strconv.Itoa(limit)+" bytes"
+	}
+	return v, fault
+}
+
 func orderFromWire(id string, req wire.OrderRequest) (entry.Order, error) {
 	o := entry.Order{
 		ID: id, Route: req.Route, Operation: req.Operation, Key: req.Key, Quantity: req.Quantity,
