--- a/cmd/pistachio-standin/config.go
+++ b/cmd/pistachio-standin/config.go
@@ -19,6 +19,16 @@
 	Leaving   []string `help:"Upstreams marked as draining."`
 }
 
+// Help says how the file is used.
+func (c *configCommand) Help() string {
+	return `The file suits all commands that take one.
+
+Example:
+  pistachio-standin config --firm armor --zones-out angers-est --revision 2 >tier.yaml
+  pistachioshore check tier.yaml
+  curl -T tier.yaml http://127.0.0.1:20900/v1/config`
+}
+
 // Run prints the configuration.
 func (c *configCommand) Run() error {
 	cfg, _ := sample.Config(c.Firm, c.BasePort, sample.WithRevision(c.Revision), sample.WithSnapshots(c.Snapshots...),
--- a/cmd/pistachio-standin/main.go
+++ b/cmd/pistachio-standin/main.go
@@ -17,7 +17,9 @@
 const description = `Stand-ins for what a query tier runs against.
 
 Every flag can also be set in the environment, for example --service-time as PISTACHIO_SERVICE_TIME.
-Faults are set while a stand-in runs, with PUT /v1/faults and a JSON body in kebab case; the commands' help lists the fields.`
+Faults are set while a stand-in runs, with PUT /v1/faults and a JSON body in kebab case; the commands' help lists the fields.
+
+Exit statuses: 0 stopped by SIGTERM or SIGINT, 1 error, 2 usage.`
 
 type commands struct {
 	Platform platformCommand `cmd:"" help:"Run the platform's configuration service and list of VMs."`
@@ -25,10 +27,19 @@
 	Config   configCommand   `cmd:"" help:"Print a firm's default configuration."`
 }
 
+// exit ends the process; the library's own status for wrong flags becomes the customary one.
+func exit(status int) {
+	const usage, libraryUsage = 2, 80
+	if status == libraryUsage {
+		status = usage
+	}
+	os.Exit(status)
+}
+
 func main() {
 	var cli commands
 	k := kong.Parse(&cli, kong.Name("pistachio-standin"), kong.DefaultEnvars("PISTACHIO"), kong.UsageOnError(),
-		kong.Description(description))
+		kong.Description(description), kong.Exit(exit))
 	k.FatalIfErrorf(k.Run())
 }
 
--- a/cmd/pistachio-standin/platform.go
+++ b/cmd/pistachio-standin/platform.go
@@ -21,7 +21,10 @@
 
 // Help describes what can be sent while the stand-in runs.
 func (c *platformCommand) Help() string {
-	return `Requests while it runs:
+	return `Example:
+  pistachio-standin platform --listen 127.0.0.1:20900 --file tier.yaml --vm 127.0.0.1:20901=brest-nord
+
+Requests while it runs:
   GET /v1/config?after=TAG&wait=SECONDS  published value, its tag in the header Revision
   GET /v1/vms                            list of VMs
   PUT /v1/config                         publish a value of at most 1 MiB
--- a/cmd/pistachio-standin/upstream.go
+++ b/cmd/pistachio-standin/upstream.go
@@ -28,7 +28,10 @@
 
 // Help describes what can be sent while the stand-ins run.
 func (c *upstreamCommand) Help() string {
-	return `Requests to each upstream while it runs, besides the published protocol:
+	return `Example:
+  pistachio-standin upstream --file tier.yaml --zone brest-nord --control 127.0.0.1:20950
+
+Requests to each upstream while it runs, besides the published protocol:
   GET /v1/starts  what it has counted
   PUT /v1/faults  for example {"slow":10,"straggler-share":0.01,"straggler-factor":10}; the fields are:
     draining, unreachable, fall-over           refuse work, refuse connections, restart when overloaded while cold
--- a/cmd/pistachioshore/caller.go
+++ b/cmd/pistachioshore/caller.go
@@ -15,8 +15,9 @@
 	"pistachioshore.dev/wire"
 )
 
-// Exit statuses of query and order.
+// Exit statuses beside 0 for success and 1 for other errors.
 const (
+	exitUsage   = 2
 	exitPartial = 3
 	exitRefused = 4
 	exitUnknown = 5
--- a/cmd/pistachioshore/check.go
+++ b/cmd/pistachioshore/check.go
@@ -38,6 +38,19 @@
 	Detail  string `json:"detail,omitempty"`
 }
 
+// Help says what is checked and where the format is described.
+func (c *checkCommand) Help() string {
+	return `Runs the checks that an entry VM runs before it puts a configuration in force, and prints each fault
+with code, field, value and allowed range, or the revision and digest of a valid file. It needs no
+tier. Check every file before it is published. docs/configuration.md describes the format.
+
+Examples:
+  pistachioshore check tier.yaml
+  pistachioshore check --report json tier.yaml
+
+Exit statuses: 0 valid, 1 the file cannot be read, 2 usage, 4 the file has faults.`
+}
+
 // Run prints each fault of the file; the exit status tells whether an entry VM would accept it.
 func (c *checkCommand) Run(out output) error {
 	raw, err := os.ReadFile(c.File)
--- a/cmd/pistachioshore/entry.go
+++ b/cmd/pistachioshore/entry.go
@@ -27,6 +27,24 @@
 	TracesAddress netip.AddrPort `help:"Address and port of an OTLP receiver over HTTP, with --traces=otlp."`
 }
 
+// Help says how a VM is started, stopped and watched.
+func (c *entryCommand) Help() string {
+	return `An entry VM takes requests from callers, fans them out to the upstreams of the configuration and
+merges the shard results into one answer. It reads the configuration and the list of VMs from the
+platform, serves callers, other VMs and operators on the address of --listen, and writes log lines to
+standard error. Each availability zone needs at least two of them.
+
+Example, with the stand-ins that scripts/local-tier.sh starts:
+  pistachioshore entry --listen 127.0.0.1:20901 --zone brest-nord --platform 127.0.0.1:20900
+
+On its address: POST /v1/query, /v1/permits and /v1/orders for callers; GET /v1/status, /metrics
+(Prometheus), /live and /ready (204, or 503 while the load balancer should send nothing) for operators.
+
+SIGTERM or SIGINT starts the graceful shutdown, which ends within 10 s and fails no accepted request.
+
+Exit statuses: 0 stopped gracefully, 1 setting out of range, busy address or other error, 2 usage.`
+}
+
 // Run serves until the process is told to stop.
 func (c *entryCommand) Run() error {
 	s, err := c.settings()
--- a/cmd/pistachioshore/harness_test.go
+++ b/cmd/pistachioshore/harness_test.go
@@ -27,7 +27,8 @@
 	platformPort  = upstreamPorts
 	controlPort   = platformPort + 1 // one for each zone
 	entryPort     = controlPort + 3  // two for each zone
-	allPorts      = entryPort + 6
+	unusedPort    = entryPort + 6
+	allPorts      = unusedPort + 1
 )
 
 // waitBound bounds each wait on a condition, so that a loaded machine does not fail the test.
@@ -66,8 +67,9 @@
 	testHTTP  = &http.Client{Timeout: 5 * time.Second}
 )
 
-// newTestTier builds the programs and starts every process; all of them end with the test.
-func newTestTier(t *testing.T) *testTier {
+// newTestTier builds the programs and starts every process; all of them end with the test. With
+// cutOff, one entry VM never reaches the platform.
+func newTestTier(t *testing.T, cutOff bool) *testTier {
 	t.Helper()
 	tier := &testTier{t: t, bin: t.TempDir(), base: freePorts(t), start: make(chan startRequest)}
 	build := exec.Command("go", "build", "-o", tier.bin+"/", "pistachioshore.dev/cmd/pistachioshore", "pistachioshore.dev/cmd/pistachio-standin")
@@ -87,13 +89,23 @@
 		}
 	}
 	tier.run("pistachio-standin", platform...)
-	for _, e := range tier.entries {
-		e.process = tier.run("pistachioshore", "entry", "--listen", e.address.String(), "--zone", e.zone, "--platform", tier.at(platformPort).String())
+	waitUntil(t, "the platform", func() bool { return get(tier.at(platformPort), "/v1/vms") == http.StatusOK })
+	for i, e := range tier.entries {
+		from := tier.at(platformPort)
+		if cutOff && i == 0 {
+			from = tier.at(unusedPort)
+		}
+		tier.startEntry(e, from)
 	}
 	tier.waitReady(tier.entries...)
 	return tier
 }
 
+func (tier *testTier) startEntry(e *testEntry, platform netip.AddrPort) {
+	tier.t.Helper()
+	e.process = tier.run("pistachioshore", "entry", "--listen", e.address.String(), "--zone", e.zone, "--platform", platform.String())
+}
+
 // freePorts returns the first of a block of free ports below the range that outgoing connections use.
 func freePorts(t *testing.T) uint16 {
 	t.Helper()
@@ -263,8 +275,10 @@
 }
 
 // ready returns the status of a VM's readiness, or 0 if it does not answer.
-func ready(e *testEntry) int {
-	resp, err := testHTTP.Get("http://" + e.address.String() + "/ready")
+func ready(e *testEntry) int { return get(e.address, "/ready") }
+
+func get(address netip.AddrPort, path string) int {
+	resp, err := testHTTP.Get("http://" + address.String() + path)
 	if err != nil {
 		return 0
 	}
--- a/cmd/pistachioshore/main.go
+++ b/cmd/pistachioshore/main.go
@@ -7,6 +7,12 @@
 	"github.com/alecthomas/kong"
 )
 
+const description = `A query tier over many shards.
+
+Start with "pistachioshore demo", which needs nothing else. Every flag can also be set in the environment,
+for example --log-level as PISTACHIO_LOG_LEVEL; a flag goes before the environment.
+README.md lists the documentation.`
+
 // commands lists the subcommands.
 type commands struct {
 	Entry  entryCommand  `cmd:"" help:"Run the process of one entry VM."`
@@ -17,13 +23,23 @@
 	Check  checkCommand  `cmd:"" help:"Check a configuration file as an entry VM would."`
 }
 
+// exit ends the process; the library's own status for wrong flags becomes the customary one.
+func exit(status int) {
+	const libraryUsage = 80
+	if status == libraryUsage {
+		status = exitUsage
+	}
+	os.Exit(status)
+}
+
 func main() {
 	var cli commands
 	k := kong.Parse(&cli,
 		kong.Name("pistachioshore"),
-		kong.Description("A query tier over many shards."),
+		kong.Description(description),
 		kong.DefaultEnvars("PISTACHIO"),
 		kong.UsageOnError(),
+		kong.Exit(exit),
 	)
 	k.BindTo(os.Stdout, (*output)(nil))
 	status, err := run(k)
--- a/cmd/pistachioshore/order.go
+++ b/cmd/pistachioshore/order.go
@@ -27,6 +27,21 @@
 	Report    string         `default:"text" enum:"text,json" help:"Form of the answer: text or json."`
 }
 
+// Help says why an order needs a permit and what its exit statuses allow.
+func (c *orderCommand) Help() string {
+	return `Gets a permit from an entry VM and sends an order with it. An order runs at most once for its permit:
+while the outcome is unknown it is sent again with the same permit, which never runs it twice.
+Running this command again takes a new permit, so do that only after exit status 4.
+
+Examples:
+  pistachioshore order --entry 127.0.0.1:20901 --route pump-order --operation place-order --key pump-17
+  pistachioshore order --entry 127.0.0.1:20901 --route certificate-reprint --operation reprint --key cert-4 --report json
+
+Exit statuses: 0 executed, 1 no permit because the VM cannot be reached or another error, 2 usage,
+4 refused and not run, 5 unknown, may have run: look at the records before ordering again.
+docs/result-codes.md lists the codes.`
+}
+
 // Run gets a permit, sends the order and prints the outcome; it ends with 0 done, 4 not run or 5 unknown.
 func (c *orderCommand) Run(out output) error {
 	caller := newCaller(c.Entry)
@@ -39,7 +54,7 @@
 		return printRefusal(out, err)
 	}
 	req := wire.OrderRequest{Route: c.Route, Operation: c.Operation, Key: c.Key, Quantity: c.Quantity, Permit: permit}
-	if c.Deadline > 0 {
+	if c.Deadline != 0 {
 		req.Deadline = c.Deadline.String()
 	}
 	a, err := c.send(caller, req)
--- a/cmd/pistachioshore/query.go
+++ b/cmd/pistachioshore/query.go
@@ -24,13 +24,26 @@
 	Report   string         `default:"text" enum:"text,json" help:"Form of the answer: text or json."`
 }
 
+// Help says what is printed and how it can be told from the exit status.
+func (c *queryCommand) Help() string {
+	return `Sends one look-up to an entry VM and prints the answer: its result code, the snapshot that all of it
+comes from, the shards that it covers, each missing shard with key range and reason, and the records.
+
+Examples:
+  pistachioshore query --entry 127.0.0.1:20901 --route breakdown-lookup --contains pump --limit 3
+  pistachioshore query --entry 127.0.0.1:20901 --route job-lookup --groups tournees --deadline 200ms --report json
+
+Exit statuses: 0 complete, 1 the VM cannot be reached or another error, 2 usage, 3 partial, 4 refused and
+not run, 5 unknown, may have run. docs/result-codes.md lists the codes.`
+}
+
 // Run sends the query and prints the answer; it ends with 0 complete, 3 partial, 4 refused or 5 unknown.
 func (c *queryCommand) Run(out output) error {
 	req := wire.QueryRequest{
 		Route: c.Route, Groups: c.Groups, Class: c.Class, Limit: c.Limit,
 		Filter: &wire.Filter{Kind: c.Kind, KeyFrom: c.KeyFrom, KeyTo: c.KeyTo, Contains: c.Contains},
 	}
-	if c.Deadline > 0 {
+	if c.Deadline != 0 {
 		req.Deadline = c.Deadline.String()
 	}
 	resp, err := newCaller(c.Entry).post("/v1/query", req)
--- a/cmd/pistachioshore/status.go
+++ b/cmd/pistachioshore/status.go
@@ -17,6 +17,21 @@
 	Report string         `default:"text" enum:"text,json" help:"Form of the report: text or json."`
 }
 
+// Help says what the report holds.
+func (c *statusCommand) Help() string {
+	return `Prints what one entry VM believes: its readiness and phase (serving, draining and so on), the
+configuration in force with its digest and the time since it was last confirmed, the drained zones,
+its peers with state and time since they were last heard, the upstreams that it owns with their warmth,
+limit and queue, and the hedge and retry budgets of the routes. Ask several VMs: each knows its own part.
+
+Examples:
+  pistachioshore status --entry 127.0.0.1:20901
+  pistachioshore status --entry 127.0.0.1:20901 --report json
+
+Exit statuses: 0 printed, 1 the VM cannot be reached or another error, 2 usage.
+docs/operations.md says what to look for.`
+}
+
 // Run prints what one VM believes.
 func (c *statusCommand) Run(out output) error {
 	caller := newCaller(c.Entry)
--- a/cmd/pistachioshore/tier_test.go
+++ b/cmd/pistachioshore/tier_test.go
@@ -16,7 +16,7 @@
 
 // TestTier guards the main use case over separate processes, as operators and callers see it.
 func TestTier(t *testing.T) {
-	tier := newTestTier(t)
+	tier := newTestTier(t, false)
 	for _, step := range []struct {
 		name string
 		run  func(t *testing.T, tier *testTier)
@@ -40,6 +40,36 @@
 	}
 }
 
+// TestCutOffVM guards that a VM that cannot read the platform gets list and configuration from the
+// peers that connect to it: it has to open connections of its own to VMs that it has only heard.
+func TestCutOffVM(t *testing.T) {
+	tier := newTestTier(t, true)
+	tier.wantComplete(tier.entries[0], 1)
+}
+
+// TestReplacedVM guards that a VM that is killed and starts again at its address takes part again:
+// its peers have to open new connections to it.
+func TestReplacedVM(t *testing.T) {
+	tier := newTestTier(t, false)
+	replaced := tier.entries[0]
+	if err := replaced.process.cmd.Process.Kill(); err != nil {
+		t.Fatal(err)
+	}
+	<-replaced.process.done
+	tier.startEntry(replaced, tier.at(platformPort))
+	tier.waitReady(replaced)
+	for _, e := range tier.entries {
+		waitUntil(t, "a complete answer of "+e.address.String(), func() bool {
+			_, status := tier.query(e)
+			return status == 0
+		})
+	}
+	s, ok := tier.status(tier.entries[1])
+	if i := slices.IndexFunc(s.Peers, func(p wire.PeerStatus) bool { return p.Address == replaced.address.String() }); !ok || i < 0 || s.Peers[i].State != "live" {
+		t.Errorf("got peers %+v, want %s live", s.Peers, replaced.address)
+	}
+}
+
 // query sends the breakdown look-up over 50 services and returns its answer and exit status.
 func (tier *testTier) query(e *testEntry) (wire.QueryAnswer, int) {
 	tier.t.Helper()
@@ -181,7 +211,14 @@
 		_, status := tier.query(e)
 		return status == 0
 	})
-	out, _, status := tier.command("query", "--entry", e.address.String(), "--route", "breakdown-look-up")
+	if _, _, status := tier.command("query", "--entry", e.address.String()); status != exitUsage {
+		t.Errorf("without a route: got status %d, want %d", status, exitUsage)
+	}
+	out, _, status := tier.command("query", "--entry", e.address.String(), "--route", "breakdown-lookup", "--deadline=-1s")
+	if status != exitRefused || !strings.Contains(out, `208 deadline-out-of-range: deadline = "-1s" (allowed: 1ms to 2.5s)`) {
+		t.Errorf("got status %d and %q, want %d and 208", status, out, exitRefused)
+	}
+	out, _, status = tier.command("query", "--entry", e.address.String(), "--route", "breakdown-look-up")
 	if status != exitRefused || !strings.Contains(out, "205 unknown-route") || !strings.Contains(out, "(not-run)") {
 		t.Errorf("got status %d and %q, want %d and 205", status, out, exitRefused)
 	}
