--- a/catalog/store.go
+++ b/catalog/store.go
@@ -50,6 +50,15 @@
 	return changed, err
 }
 
+// Confirm notes that a source has shown the value with this digest again.
+func (s *Store) Confirm(digest uint64, now time.Time) {
+	s.state.With(func(st *storeState) {
+		if st.cfg != nil && st.cfg.Digest == digest {
+			st.confirmed = now
+		}
+	})
+}
+
 // InForce returns the configuration in force, or nil if there is none yet.
 func (s *Store) InForce() *Config {
 	return table.Read(s.state, func(st *storeState) *Config { return st.cfg })
--- a/codec/config.go
+++ b/codec/config.go
@@ -50,7 +50,7 @@
 	if len(l.faults) > 0 {
 		return nil, l.sorted()
 	}
-	cfg.Digest = xxhash.Sum64(raw)
+	cfg.Digest = Digest(raw)
 	cfg.Index()
 	return cfg, nil
 }
@@ -127,3 +127,8 @@
 	}
 	return result.New(result.Malformed, clip(err.Error()))
 }
+
+// Digest returns the digest by which two published values are told apart.
+func Digest(raw []byte) uint64 {
+	return xxhash.Sum64(raw)
+}
--- a/entry/vm/config.go
+++ b/entry/vm/config.go
@@ -27,6 +27,7 @@
 // watchConfig keeps reading the published configuration until the VM stops.
 func (vm *VM) watchConfig() {
 	tag := ""
+	var digest uint64
 	for vm.ctx.Err() == nil {
 		wait := watchTime
 		if tag == "" || !vm.watches() {
@@ -40,7 +41,10 @@
 		}
 		tag = published.Tag
 		if published.Changed {
+			digest = codec.Digest(published.Value)
 			vm.acceptConfig(published.Value)
+		} else {
+			vm.catalog.Confirm(digest, vm.now())
 		}
 		if !vm.watches() {
 			vm.waitForWatch(pollTime)
--- a/entry/vm/order.go
+++ b/entry/vm/order.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"pistachioshore.dev/budget"
 	"pistachioshore.dev/catalog"
 	"pistachioshore.dev/codec"
 	"pistachioshore.dev/entry"
@@ -50,18 +51,11 @@
 // the same permit ran, or is still on its way to the issuer.
 func (vm *VM) Order(ctx context.Context, o entry.Order) (entry.Outcome, error) {
 	now := vm.now()
-	cfg := vm.catalog.InForce()
-	if cfg == nil {
-		return entry.Outcome{}, vm.refused(result.New(result.OutcomeUnknown, "this VM has no configuration yet"))
-	}
-	route, ok := cfg.Route(o.Route)
-	if !ok || route.Idempotent {
-		return entry.Outcome{}, vm.refused(result.Field(result.UnknownRoute, "route", o.Route, "a non-idempotent route of the configuration"))
-	}
-	deadline := now.Add(route.Deadline)
-	if o.Deadline > 0 {
-		deadline = now.Add(min(route.Deadline, o.Deadline))
+	longest := catalog.MaxDeadline
+	if route, ok := vm.orderRoute(o.Route); ok {
+		longest = route.Deadline
 	}
+	deadline := budget.Cap(now, o.Deadline, longest)
 	ctx, span := vm.startOrderSpan(ctx, o)
 	defer span.End()
 	vm.reached(Accepted, o.ID)
@@ -69,7 +63,7 @@
 	var out entry.Outcome
 	var err error
 	if o.Permit.Issuer == vm.settings.Address {
-		out, err = vm.runOrder(ctx, cfg, o, deadline.Add(-hopMargin))
+		out, err = vm.runOrder(ctx, o, deadline.Add(-hopMargin))
 	} else {
 		out, err = vm.forwardOrder(ctx, o, deadline)
 	}
@@ -109,12 +103,8 @@
 	ctx, cancel := context.WithDeadline(contextWithTrace(vm.ctx, m.TraceParent), m.Deadline)
 	defer cancel()
 	out := &wire.OrderResult{ID: m.ID}
-	cfg := vm.catalog.InForce()
-	if cfg == nil {
-		return
-	}
 	o := fromWireOrder(m.RequestID, m.Order)
-	outcome, err := vm.runOrder(ctx, cfg, o, m.Deadline)
+	outcome, err := vm.runOrder(ctx, o, m.Deadline)
 	if err != nil {
 		out.Refusal = codec.ToWireRefusal(m.RequestID, err)
 	} else {
@@ -136,18 +126,26 @@
 	vm.forwarded.deliver(m.ID, r)
 }
 
-// runOrder consumes the permit and runs the order, or returns the outcome of its first run.
-func (vm *VM) runOrder(ctx context.Context, cfg *catalog.Config, o entry.Order, deadline time.Time) (entry.Outcome, error) {
-	route, ok := cfg.Route(o.Route)
-	if !ok || route.Idempotent {
-		return entry.Outcome{}, result.Field(result.UnknownRoute, "route", o.Route, "a non-idempotent route of the configuration")
+// orderRoute returns the route of an order if the configuration in force has it.
+func (vm *VM) orderRoute(name string) (*catalog.Route, bool) {
+	cfg := vm.catalog.InForce()
+	if cfg == nil {
+		return nil, false
 	}
-	fingerprint := quarantine.Fingerprint(o.Operation, route.Groups, []string{o.Key, strconv.Itoa(o.Quantity)}, 0)
+	route, ok := cfg.Route(name)
+	return route, ok && !route.Idempotent
+}
+
+// runOrder consumes the permit and runs the order, or returns the outcome of its first run. The
+// permit comes before every other check, because a later configuration may no longer allow what an
+// earlier try has run.
+func (vm *VM) runOrder(ctx context.Context, o entry.Order, deadline time.Time) (entry.Outcome, error) {
+	fingerprint := quarantine.Fingerprint(o.Operation, []string{o.Route}, []string{o.Key, strconv.Itoa(o.Quantity)}, 0)
 	for {
 		d := vm.permits.Consume(vm.now(), o.Permit, fingerprint)
 		switch {
 		case d.Run:
-			out := vm.runAdmitted(ctx, cfg, route, o, fingerprint, deadline)
+			out := vm.runAdmitted(ctx, o, fingerprint, deadline)
 			vm.permits.Finish(vm.now(), o.Permit, permit.Outcome{Code: out.Code, Receipt: out.Receipt})
 			return settled(out)
 		case d.Kept != nil:
@@ -188,7 +186,11 @@
 
 // runAdmitted runs an order whose permit was just consumed. A refusal here is final for the permit,
 // so that a delayed duplicate of the order cannot run after its caller was told "not run".
-func (vm *VM) runAdmitted(ctx context.Context, cfg *catalog.Config, route *catalog.Route, o entry.Order, fingerprint uint64, deadline time.Time) entry.Outcome {
+func (vm *VM) runAdmitted(ctx context.Context, o entry.Order, fingerprint uint64, deadline time.Time) entry.Outcome {
+	route, ok := vm.orderRoute(o.Route)
+	if !ok {
+		return entry.Outcome{Code: result.UnknownRoute}
+	}
 	if vm.contacts.drainedFor(vm.now()) > drainGrace {
 		return entry.Outcome{Code: result.ZoneOut}
 	}
@@ -196,7 +198,7 @@
 		return entry.Outcome{Code: result.Overloaded}
 	}
 	defer vm.admission.Done(route.Class)
-	return vm.runOnce(ctx, cfg, route, o, fingerprint, deadline)
+	return vm.runOnce(ctx, vm.catalog.InForce(), route, o, fingerprint, deadline)
 }
 
 // runOnce tries replicas in turn for as long as each says that it has not run the order.
--- a/entry/vm/owner.go
+++ b/entry/vm/owner.go
@@ -148,9 +148,6 @@
 		vm.to.Peers.Forget(peer)
 		_ = level.Info(vm.observe.Log).Log("msg", "VM lost", "peer", peer)
 	}
-	if len(c.Died) > 0 {
-		vm.connectLive(now)
-	}
 	for _, peer := range c.Connect {
 		vm.to.Peers.Connect(peer)
 	}
@@ -161,16 +158,6 @@
 	}
 }
 
-// connectLive connects to the VMs that are heard. A VM that came back with another incarnation at
-// its address is lost and live at once, and its heartbeats alone would not make this VM connect to it.
-func (vm *VM) connectLive(now time.Time) {
-	for _, p := range vm.fleet.Peers(now) {
-		if p.State == fleet.StateLive || p.State == fleet.StateSuspect {
-			vm.to.Peers.Connect(p.Address)
-		}
-	}
-}
-
 // handOver releases upstreams and passes their state to the new owner VMs, one message to each.
 func (vm *VM) handOver(now time.Time, losses []fleet.Loss) {
 	messages := map[netip.AddrPort]*wire.Handover{}
--- a/entry/vm/peers.go
+++ b/entry/vm/peers.go
@@ -146,6 +146,9 @@
 	}
 	vm.fleet.Hear(now, hb)
 	vm.contacts.heard(from)
+	// A VM that is heard gives no other reason to connect to it, for example one that has restarted at
+	// its address, or one that this VM, cut off from the platform, has no list of.
+	vm.to.Peers.Connect(from)
 	vm.askForConfig(from, h.Revision, h.Digest)
 }
 
--- a/entry/vm/tick.go
+++ b/entry/vm/tick.go
@@ -26,6 +26,10 @@
 	vm.ticks.At(now.Add(s.Tick), vm.tick)
 }
 
+// tierStart is the time after the takeover delay in which the other VMs of a tier that starts as a
+// whole acquire their upstreams; without it the first queries find some of them without an owner.
+const tierStart = 500 * time.Millisecond
+
 // acquireTime bounds the wait of readiness for the upstreams that this VM owns: a VM that waits
 // longer for an upstream still serves queries from the other replicas.
 const acquireTime = 5 * time.Second
@@ -47,5 +51,5 @@
 			return false
 		}
 	}
-	return vm.now().Sub(vm.started) >= fleet.DefaultSettings().Takeover
+	return vm.now().Sub(vm.started) >= fleet.DefaultSettings().Takeover+tierStart
 }
--- a/transport/rest/watched.go
+++ b/transport/rest/watched.go
@@ -26,8 +26,11 @@
 	return n, err
 }
 
-// Write counts the bytes that may have reached the upstream.
+// Write counts the bytes that may have reached the upstream; none do after a close from this end.
 func (w *watchedConn) Write(b []byte) (int, error) {
+	if w.isClosed() {
+		return 0, net.ErrClosed
+	}
 	w.written.Add(int64(len(b))) // counted first: a failed write may still have sent a part
 	return w.Conn.Write(b)
 }
@@ -40,6 +43,12 @@
 	return w.Conn.Close()
 }
 
+func (w *watchedConn) isClosed() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.closed
+}
+
 // onEnded has fn called when the other end ends the connection, or at once if it has.
 func (w *watchedConn) onEnded(fn func()) {
 	w.mu.Lock()
