Run load scenarios and measure the tier's own cost

vm.Policies takes a Chooser interface, so that an arm can wrap the replica choice; balancer.Chooser implements it unchanged.

Checks seen to fail after a scratch edit: latency counted from the send instead of the intended start, an arm's route changes leaking into the shared sample routes, a rate that goes on past the next one, an unknown scenario field, and the median of unsorted values.

--- a/entry/vm/vm.go
+++ b/entry/vm/vm.go
@@ -17,6 +17,7 @@
 	"pistachioshore.dev/catalog"
 	"pistachioshore.dev/entry"
 	"pistachioshore.dev/fleet"
+	"pistachioshore.dev/gather"
 	"pistachioshore.dev/permit"
 	"pistachioshore.dev/pool"
 	"pistachioshore.dev/quarantine"
@@ -51,9 +52,18 @@
 
 // Policies are the choices that an experiment may replace.
 type Policies struct {
-	Chooser *balancer.Chooser
+	Chooser Chooser
 }
 
+// Chooser picks replicas and learns from outcomes; all queries of a VM share one.
+type Chooser interface {
+	gather.Chooser
+	// Observe takes how an attempt of the group ended at the server.
+	Observe(now time.Time, group, server string, o balancer.Observation)
+}
+
+var _ Chooser = (*balancer.Chooser)(nil)
+
 // Observers take what the VM reports about itself.
 type Observers struct {
 	Log      log.Logger
@@ -75,7 +85,7 @@
 	quarantine *quarantine.Table
 	permits    *permit.Table
 	admission  *budget.Admission
-	chooser    *balancer.Chooser
+	chooser    Chooser
 	stopping   *shutdown.Machine
 
 	attempts  *attempts            // attempts sent, by their key
--- /dev/null
+++ b/load/arm/arm_test.go
@@ -0,0 +1,25 @@
+package arm
+
+import (
+	"testing"
+
+	"pistachioshore.dev/standin/sample"
+)
+
+// TestAdjust guards that an arm changes the routes of its own configuration only; the sample
+// configurations share one list of routes, and a change in it would leak into the next arm.
+func TestAdjust(t *testing.T) {
+	a, err := Find("round-robin")
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg, _ := sample.Config("armor", 20_000)
+	a.Adjust(&cfg)
+	if got := cfg.Routes[0].HedgeBudget; got != 0 {
+		t.Errorf("got a hedge budget of %v in the arm's configuration, want 0", got)
+	}
+	fresh, _ := sample.Config("armor", 20_000)
+	if got, want := fresh.Routes[0].HedgeBudget, 0.05; got != want {
+		t.Errorf("got a hedge budget of %v in a fresh configuration, want %v", got, want)
+	}
+}
--- /dev/null
+++ b/load/chart/chart.go
@@ -0,0 +1,97 @@
+// Package chart draws the figures of an experiment.
+package chart
+
+import (
+	"encoding/base64"
+	"html/template"
+	"io"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
+	"pistachioshore.dev/load"
+)
+
+// Size of a plot.
+const (
+	width  = 8 * vg.Inch
+	height = 4 * vg.Inch
+)
+
+// Latencies draws the share of answers by latency, one line for each arm's first repeat, as a PNG.
+func Latencies(w io.Writer, r load.Report, key load.Figures) error {
+	p := plot.New()
+	p.Title.Text = r.Scenario.Name + ", " + key.Phase + " " + key.Route
+	p.X.Label.Text, p.Y.Label.Text = "latency from the intended start, ms", "answers within, %"
+	p.Y.Min, p.Y.Max = 50, 100
+	p.X.Scale, p.X.Tick.Marker = plot.LogScale{}, plot.LogTicks{}
+	p.Legend.Left = false
+	for i, name := range r.Arms() {
+		line, err := plotter.NewLine(points(r, name, key))
+		if err != nil {
+			continue // an arm without answers has no line
+		}
+		line.Color, line.Dashes = plotutil.Color(i), plotutil.Dashes(i)
+		p.Add(line)
+		p.Legend.Add(name, line)
+	}
+	c, err := p.WriterTo(width, height, "png")
+	if err != nil {
+		return errors.Wrap(err, "draw")
+	}
+	_, err = c.WriteTo(w)
+	return errors.Wrap(err, "write plot")
+}
+
+func points(r load.Report, arm string, key load.Figures) plotter.XYs {
+	var out plotter.XYs
+	for _, run := range r.Runs {
+		if run.Arm != arm || run.Repeat != 1 {
+			continue
+		}
+		for _, f := range run.Figures {
+			if f.Phase != key.Phase || f.Route != key.Route {
+				continue
+			}
+			for _, b := range f.Buckets {
+				if b.ValueAt > 0 && b.Quantile >= 50 {
+					out = append(out, plotter.XY{X: float64(b.ValueAt) / 1000, Y: b.Quantile})
+				}
+			}
+		}
+	}
+	return out
+}
+
+var page = template.Must(template.New("page").Parse(`<!doctype html>
+<html lang="en"><meta charset="utf-8"><title>{{.Name}}</title>
+<h1>{{.Name}}</h1>
+<pre>{{.Text}}</pre>
+{{range .Images}}<p><img alt="latencies" src="data:image/png;base64,{{.}}"></p>
+{{end}}</html>
+`))
+
+// HTML writes the text report and a plot of each phase as one page.
+func HTML(w io.Writer, r load.Report) error {
+	var text strings.Builder
+	r.Print(&text)
+	data := struct {
+		Name, Text string
+		Images     []string
+	}{Name: r.Scenario.Name, Text: text.String()}
+	for _, k := range r.Keys() {
+		if k.Route != "" {
+			continue
+		}
+		var image strings.Builder
+		if err := Latencies(&image, r, k); err != nil {
+			return err
+		}
+		data.Images = append(data.Images, base64.StdEncoding.EncodeToString([]byte(image.String())))
+	}
+	return errors.Wrap(page.Execute(w, data), "write page")
+}
--- /dev/null
+++ b/load/events.go
@@ -0,0 +1,97 @@
+package load
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"pistachioshore.dev/audit"
+	"pistachioshore.dev/load/scenario"
+	"pistachioshore.dev/standin/platform"
+	"pistachioshore.dev/standin/sample"
+	"pistachioshore.dev/standin/upstream"
+)
+
+// events carries the events of the scenario out at their times.
+func (r *run) events(ctx context.Context) error {
+	drained := map[string]time.Time{}
+	for _, e := range r.settings.Scenario.Events {
+		if !sleepUntil(ctx, r.started.Add(e.At.Of())) {
+			return nil
+		}
+		if err := r.carryOut(e, drained); err != nil {
+			return errors.Wrapf(err, "event %s at %v", e.Action, e.At.Of())
+		}
+	}
+	return nil
+}
+
+func (r *run) carryOut(e scenario.Event, drained map[string]time.Time) error {
+	switch e.Action {
+	case scenario.SetFaults:
+		if r.arm.Healthy {
+			return nil
+		}
+		return r.setFaults(e)
+	case scenario.Snapshot:
+		_, err := r.tier.Publish(sample.WithSnapshots(1, 2))
+		return err
+	case scenario.ZoneOut:
+		at, err := r.tier.Publish(sample.WithZonesOut(e.Target.Zone))
+		drained[e.Target.Zone] = at
+		return errors.CombineErrors(err, r.markZone(e.Target.Zone, true))
+	case scenario.ZoneBack:
+		err := r.markZone(e.Target.Zone, false)
+		at, publishErr := r.tier.Publish(sample.WithZonesOut())
+		r.tier.Recorder().Outage(audit.Outage{Property: audit.ZoneOut, Zone: e.Target.Zone, From: drained[e.Target.Zone], To: at})
+		return errors.CombineErrors(err, publishErr)
+	case scenario.PlatformDown:
+		return r.tier.Platform().SetFaults(platform.Faults{Down: platform.DownClose})
+	case scenario.PlatformUp:
+		return r.tier.Platform().SetFaults(platform.Faults{})
+	case scenario.KillVM:
+		return r.killVM(e.Target.Zone)
+	}
+	return errors.Newf("unknown action %q", e.Action)
+}
+
+func (r *run) setFaults(e scenario.Event) error {
+	selected := r.tier.Upstreams().Select(upstream.Selection{
+		Upstream: e.Target.Upstream, Service: e.Target.Service, Group: e.Target.Group, Zone: e.Target.Zone,
+	})
+	if len(selected) == 0 {
+		return errors.New("no upstream is selected")
+	}
+	for i, u := range selected {
+		if e.Target.Every > 1 && i%e.Target.Every != 0 {
+			continue
+		}
+		if err := u.SetFaultsFromWire(*e.Faults); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// markZone has the upstreams of a zone count what they start while it is drained.
+func (r *run) markZone(zone string, out bool) error {
+	var failures error
+	for _, u := range r.tier.Upstreams().Select(upstream.Selection{Zone: zone}) {
+		f := u.Faults()
+		f.ZoneOut = out
+		failures = errors.CombineErrors(failures, u.SetFaults(f))
+	}
+	return failures
+}
+
+// killVM ends the first running VM of a zone as a crash would.
+func (r *run) killVM(zone string) error {
+	for _, v := range r.tier.VMs() {
+		if v.Zone == zone && v.Running() {
+			v.Kill()
+			return nil
+		}
+	}
+	return errors.Newf("no VM runs in zone %q", zone)
+}
--- /dev/null
+++ b/load/figures.go
@@ -0,0 +1,162 @@
+package load
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"pistachioshore.dev/audit"
+	"pistachioshore.dev/catalog"
+	"pistachioshore.dev/result"
+)
+
+// Range of the latencies that are recorded, in microseconds.
+const (
+	leastLatency = 1
+	mostLatency  = 60_000_000
+	digits       = 3
+)
+
+// ArmRun is what one run of one arm measured.
+type ArmRun struct {
+	Arm        string         `json:"arm"`
+	Repeat     int            `json:"repeat"`
+	Seed       uint64         `json:"seed"`
+	Usage      Usage          `json:"usage"`
+	Cold       int            `json:"over-limit-cold"` // sub-requests over the limit of a cold upstream
+	Violations map[string]int `json:"violations"`
+	Details    []string       `json:"violation-details"`
+	Figures    []Figures      `json:"figures"`
+}
+
+// Figures are those of one phase and one route, or of all routes if the route is empty.
+type Figures struct {
+	Phase    string                 `json:"phase"`
+	Route    string                 `json:"route"`
+	Requests int                    `json:"requests"`
+	Codes    map[string]int         `json:"codes"`
+	Refused  map[string]int         `json:"refused"` // by priority class
+	P50      float64                `json:"p50-ms"`
+	P95      float64                `json:"p95-ms"`
+	P99      float64                `json:"p99-ms"`
+	P999     float64                `json:"p99.9-ms"`
+	Coverage float64                `json:"coverage"` // share of the shards that answers were asked for
+	Extra    float64                `json:"extra"`    // starts beyond one for each shard asked for, as a share
+	Goodput  float64                `json:"goodput"`  // answers a second with the route's minimum coverage
+	Shards   float64                `json:"shards"`   // covered shards a second
+	Buckets  []hdrhistogram.Bracket `json:"-"`
+}
+
+// tally sums up the calls of one phase and route.
+type tally struct {
+	figures          Figures
+	latencies        *hdrhistogram.Histogram
+	good, asked      int
+	covered, started int
+}
+
+func newTally(phase, route string) *tally {
+	return &tally{
+		figures:   Figures{Phase: phase, Route: route, Codes: map[string]int{}, Refused: map[string]int{}},
+		latencies: hdrhistogram.New(leastLatency, mostLatency, digits),
+	}
+}
+
+// add counts one call; the latency counts from the intended start.
+func (t *tally) add(q audit.Query, intended time.Time, route *catalog.Route, starts int) {
+	t.figures.Requests++
+	t.figures.Codes[codeName(q.Code)]++
+	if q.Answer == nil {
+		if q.Code.Effect() == result.NotRun {
+			t.figures.Refused[route.Class.String()]++
+		}
+		return
+	}
+	_ = t.latencies.RecordValue(q.Returned.Sub(intended).Microseconds()) // callers wait less than the range
+	covered, asked := len(q.Answer.Covered), len(q.Answer.Covered)+len(q.Answer.Missing)
+	t.covered += covered
+	t.asked += asked
+	t.started += starts
+	if asked > 0 && float64(covered) >= route.MinimumCoverage*float64(asked) {
+		t.good++
+	}
+}
+
+func (t *tally) finish(length time.Duration) Figures {
+	f := t.figures
+	ms := func(q float64) float64 { return float64(t.latencies.ValueAtQuantile(q)) / 1000 }
+	f.P50, f.P95, f.P99, f.P999 = ms(50), ms(95), ms(99), ms(99.9)
+	if t.asked > 0 {
+		f.Coverage = float64(t.covered) / float64(t.asked)
+		f.Extra = float64(t.started)/float64(t.asked) - 1
+	}
+	f.Goodput = float64(t.good) / length.Seconds()
+	f.Shards = float64(t.covered) / length.Seconds()
+	f.Buckets = t.latencies.CumulativeDistributionWithTicks(5)
+	return f
+}
+
+func codeName(c result.Code) string {
+	if c == 0 {
+		return "broken"
+	}
+	return c.String()
+}
+
+// measure compares what the callers saw with what the upstreams counted.
+func (r *run) measure(repeat int, seed uint64, u Usage, violations []audit.Violation, h audit.History) ArmRun {
+	out := ArmRun{Arm: r.arm.Name, Repeat: repeat + 1, Seed: seed, Usage: u, Violations: map[string]int{}, Details: []string{}}
+	for _, c := range r.tier.Upstreams().Counts() {
+		out.Cold += c.ColdOverloads
+	}
+	for _, v := range violations {
+		out.Violations[v.Property.String()]++
+		if len(out.Details) < maxDetails {
+			out.Details = append(out.Details, v.String())
+		}
+	}
+	starts := startsByRequest(h)
+	for _, p := range r.settings.Scenario.Phases {
+		all := newTally(p.Name, "")
+		byRoute := map[string]*tally{}
+		for _, c := range r.calls {
+			if c.At < p.From.Of() || c.At >= p.To.Of() || r.intended[c.Number].IsZero() {
+				continue
+			}
+			route, ok := h.Catalog.Route(c.Route)
+			if !ok {
+				continue
+			}
+			if byRoute[c.Route] == nil {
+				byRoute[c.Route] = newTally(p.Name, c.Route)
+			}
+			q := r.queries[c.Number]
+			all.add(q, r.intended[c.Number], route, starts[q.Request])
+			byRoute[c.Route].add(q, r.intended[c.Number], route, starts[q.Request])
+		}
+		length := p.To.Of() - p.From.Of()
+		out.Figures = append(out.Figures, all.finish(length))
+		for _, a := range r.settings.Scenario.Arrivals {
+			if t := byRoute[a.Route]; t != nil {
+				out.Figures = append(out.Figures, t.finish(length))
+			}
+		}
+	}
+	return out
+}
+
+// maxDetails bounds the violations that a run spells out.
+const maxDetails = 5
+
+// startsByRequest counts the starts of sub-requests at the upstreams.
+func startsByRequest(h audit.History) map[string]int {
+	n := map[string]int{}
+	for _, u := range h.Upstreams {
+		for _, s := range u.Starts {
+			if s.Shard != "" {
+				n[audit.RequestOf(s.Request)]++
+			}
+		}
+	}
+	return n
+}
--- a/load/load.go
+++ b/load/load.go
@@ -1,2 +1,60 @@
 // Package load generates load and measures policies against each other.
 package load
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"pistachioshore.dev/load/arm"
+	"pistachioshore.dev/load/scenario"
+)
+
+// settleTime lies between two runs, so that the collection of one run's garbage does not fall into the next.
+const settleTime = 500 * time.Millisecond
+
+// Settings describe an experiment.
+type Settings struct {
+	Scenario scenario.Scenario
+	Seed     uint64
+	Arms     []string // those of the scenario if empty
+	Repeats  int
+	Progress io.Writer // one line every two seconds; nothing if nil
+}
+
+// Run runs the arms in turn on the same seed, as often as asked for; repeat n uses the seed plus n.
+func Run(ctx context.Context, s Settings) (Report, error) {
+	names := s.Arms
+	if len(names) == 0 {
+		names = s.Scenario.Arms
+	}
+	var arms []arm.Arm
+	for _, name := range names {
+		a, err := arm.Find(name)
+		if err != nil {
+			return Report{}, err
+		}
+		arms = append(arms, a)
+	}
+	report := Report{Scenario: s.Scenario, Seed: s.Seed}
+	for repeat := range max(s.Repeats, 1) {
+		for _, a := range arms {
+			r, err := runArm(ctx, s, a, repeat)
+			if err != nil {
+				return report, errors.Wrapf(err, "arm %s, repeat %d", a.Name, repeat+1)
+			}
+			report.Runs = append(report.Runs, r)
+			time.Sleep(settleTime)
+		}
+	}
+	return report, nil
+}
+
+func (s Settings) print(format string, args ...any) {
+	if s.Progress != nil {
+		fmt.Fprintf(s.Progress, format+"\n", args...)
+	}
+}
--- /dev/null
+++ b/load/report.go
@@ -0,0 +1,200 @@
+package load
+
+import (
+	"encoding/csv"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strconv"
+
+	"pistachioshore.dev/load/scenario"
+)
+
+// Report holds every run of an experiment.
+type Report struct {
+	Scenario scenario.Scenario `json:"scenario"`
+	Seed     uint64            `json:"seed"`
+	Runs     []ArmRun          `json:"runs"`
+}
+
+// Spread is the median of several repeats with their range.
+type Spread struct {
+	Median, Least, Most float64
+	N                   int
+}
+
+// NewSpread returns the spread of values, which are not empty.
+func NewSpread(values []float64) Spread {
+	if len(values) == 0 {
+		return Spread{}
+	}
+	sorted := slices.Sorted(slices.Values(values))
+	n := len(sorted)
+	median := sorted[n/2]
+	if n%2 == 0 {
+		median = (sorted[n/2-1] + sorted[n/2]) / 2
+	}
+	return Spread{Median: median, Least: sorted[0], Most: sorted[n-1], N: n}
+}
+
+// String shows the range only where there are several values.
+func (s Spread) String() string {
+	if s.N < 2 {
+		return fmt.Sprintf("%.4g", s.Median)
+	}
+	return fmt.Sprintf("%.4g [%.4g, %.4g]", s.Median, s.Least, s.Most)
+}
+
+// Arms returns the arms in the order of their first run.
+func (r Report) Arms() []string {
+	var out []string
+	for _, a := range r.Runs {
+		if !slices.Contains(out, a.Arm) {
+			out = append(out, a.Arm)
+		}
+	}
+	return out
+}
+
+// Keys returns the phases and routes that an arm has figures for.
+func (r Report) Keys() []Figures {
+	var out []Figures
+	for _, run := range r.Runs {
+		for _, f := range run.Figures {
+			same := func(k Figures) bool { return k.Phase == f.Phase && k.Route == f.Route }
+			if !slices.ContainsFunc(out, same) {
+				out = append(out, Figures{Phase: f.Phase, Route: f.Route})
+			}
+		}
+	}
+	return out
+}
+
+// Values returns one value for each repeat of an arm.
+func (r Report) Values(arm string, key Figures, value func(f Figures) float64) []float64 {
+	var out []float64
+	for _, run := range r.Runs {
+		for _, f := range run.Figures {
+			if run.Arm == arm && f.Phase == key.Phase && f.Route == key.Route {
+				out = append(out, value(f))
+			}
+		}
+	}
+	return out
+}
+
+// Ratios returns the values of an arm over those of a base arm, repeat by repeat.
+func (r Report) Ratios(arm, base string, key Figures, value func(f Figures) float64) []float64 {
+	a, b := r.Values(arm, key, value), r.Values(base, key, value)
+	var out []float64
+	for i := range min(len(a), len(b)) {
+		if b[i] > 0 {
+			out = append(out, a[i]/b[i])
+		}
+	}
+	return out
+}
+
+// column is one figure of the text report.
+type column struct {
+	name  string
+	value func(f Figures) float64
+}
+
+var columns = []column{
+	{"p50 ms", func(f Figures) float64 { return f.P50 }},
+	{"p95 ms", func(f Figures) float64 { return f.P95 }},
+	{"p99 ms", func(f Figures) float64 { return f.P99 }},
+	{"p99.9 ms", func(f Figures) float64 { return f.P999 }},
+	{"coverage", func(f Figures) float64 { return f.Coverage }},
+	{"extra", func(f Figures) float64 { return f.Extra }},
+	{"goodput/s", func(f Figures) float64 { return f.Goodput }},
+	{"shards/s", func(f Figures) float64 { return f.Shards }},
+}
+
+// Print writes the report as text: medians over the repeats with their ranges.
+func (r Report) Print(w io.Writer) {
+	fmt.Fprintf(w, "scenario %s, firm %s, seed %d\n", r.Scenario.Name, r.Scenario.Firm, r.Seed)
+	arms := r.Arms()
+	for _, k := range r.Keys() {
+		fmt.Fprintf(w, "\nphase %s, route %s\n", k.Phase, orAll(k.Route))
+		for _, a := range arms {
+			fmt.Fprintf(w, "  %-18s", a)
+			for _, c := range columns {
+				fmt.Fprintf(w, "  %s %s", c.name, NewSpread(r.Values(a, k, c.value)))
+			}
+			fmt.Fprintf(w, "  p99/%s %s\n", arms[0], NewSpread(r.Ratios(a, arms[0], k, columns[2].value)))
+		}
+	}
+	fmt.Fprintln(w)
+	for _, run := range r.Runs {
+		fmt.Fprintf(w, "%s repeat %d: %.2f cores, machine %.0f%% busy, %d over a cold limit, violations %v\n",
+			run.Arm, run.Repeat, run.Usage.Cores, 100*run.Usage.Machine, run.Cold, run.Violations)
+		for _, f := range run.Figures {
+			if f.Route == "" {
+				fmt.Fprintf(w, "   %s: %d requests, codes %v, refused %v\n", f.Phase, f.Requests, f.Codes, f.Refused)
+			}
+		}
+		for _, d := range run.Details {
+			fmt.Fprintln(w, "   ", d)
+		}
+	}
+}
+
+func orAll(route string) string {
+	if route == "" {
+		return "(all)"
+	}
+	return route
+}
+
+// JSON writes the report as one object.
+func (r Report) JSON(w io.Writer) error {
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	return e.Encode(r)
+}
+
+// CSV writes one line for each run, phase and route.
+func (r Report) CSV(w io.Writer) error {
+	out := csv.NewWriter(w)
+	head := []string{"scenario", "firm", "arm", "repeat", "seed", "phase", "route", "requests", "cores", "machine-busy", "over-limit-cold", "violations"}
+	for _, c := range columns {
+		head = append(head, c.name)
+	}
+	rows := [][]string{head}
+	for _, run := range r.Runs {
+		for _, f := range run.Figures {
+			rows = append(rows, r.row(run, f))
+		}
+	}
+	return out.WriteAll(rows)
+}
+
+func (r Report) row(run ArmRun, f Figures) []string {
+	violations := 0
+	for _, n := range run.Violations {
+		violations += n
+	}
+	number := func(v float64) string { return strconv.FormatFloat(v, 'g', 6, 64) }
+	row := []string{
+		r.Scenario.Name, r.Scenario.Firm, run.Arm, strconv.Itoa(run.Repeat), strconv.FormatUint(run.Seed, 10), f.Phase, f.Route,
+		strconv.Itoa(f.Requests), number(run.Usage.Cores), number(run.Usage.Machine), strconv.Itoa(run.Cold), strconv.Itoa(violations),
+	}
+	for _, c := range columns {
+		row = append(row, number(c.value(f)))
+	}
+	return row
+}
+
+// Violations returns the number of violations over all runs.
+func (r Report) Violations() int {
+	n := 0
+	for _, run := range r.Runs {
+		for _, times := range run.Violations {
+			n += times
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/load/run.go
@@ -0,0 +1,163 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"pistachioshore.dev/audit"
+	"pistachioshore.dev/demo/tier"
+	"pistachioshore.dev/load/arm"
+	"pistachioshore.dev/load/scenario"
+	"pistachioshore.dev/standin/sample"
+	"pistachioshore.dev/standin/upstream"
+	"pistachioshore.dev/wire"
+)
+
+// Times of a run.
+const (
+	progressEvery = 2 * time.Second
+	sightEvery    = 250 * time.Millisecond
+)
+
+// filters are what callers look for.
+var filters = []wire.Filter{
+	{Kind: "part", Contains: "pump"},
+	{Kind: "part", Contains: "pedal"},
+	{Kind: "job"},
+	{Kind: "batch", Contains: "prism"},
+	{Kind: "reject-mark"},
+	{},
+}
+
+// run is one arm under one scenario.
+type run struct {
+	settings Settings
+	arm      arm.Arm
+	tier     *tier.Tier
+	client   *tier.Client
+	calls    []scenario.Call
+	started  time.Time
+	intended []time.Time
+	queries  []audit.Query // by the number of their call
+	ended    atomic.Int64
+	sent     atomic.Int64
+}
+
+func runArm(ctx context.Context, s Settings, a arm.Arm, repeat int) (ArmRun, error) {
+	sc, seed := s.Scenario, s.Seed+uint64(repeat)
+	runtime.GC()
+	loads := newReports()
+	t, err := tier.Start(ctx, tier.Settings{
+		Firm: sc.Firm, VMsPerZone: sc.VMsPerZone,
+		Upstreams: upstream.Settings{
+			Queue: sc.Queue, ServiceTime: sc.ServiceTime.Of(), Spread: sc.Spread, RestartTime: sc.RestartTime.Of(), Seed: seed,
+		},
+		Config: []sample.Option{sample.WithSnapshots(1)},
+		Adjust: a.Adjust,
+		Extra:  a.Options(loads.of),
+	})
+	if err != nil {
+		return ArmRun{}, errors.Wrap(err, "start the tier")
+	}
+	r := &run{settings: s, arm: a, tier: t, client: tier.NewClient(t), calls: sc.Schedule(seed)}
+	r.queries = make([]audit.Query, len(r.calls))
+	r.intended = make([]time.Time, len(r.calls))
+	running, stop := context.WithCancel(ctx)
+	defer stop()
+	var helpers sync.WaitGroup
+	helpers.Go(func() { loads.watch(running, t.Upstreams()) })
+	usage := startUsage()
+	r.started = time.Now()
+	helpers.Go(func() { r.progress(running, repeat) })
+	helpers.Go(func() { r.sight(running) })
+	eventErr := make(chan error, 1)
+	helpers.Go(func() { eventErr <- r.events(running) })
+	r.send(running)
+	err = errors.CombineErrors(<-eventErr, ctx.Err())
+	u := usage.stop()
+	stop()
+	helpers.Wait()
+	t.Close(context.WithoutCancel(ctx))
+	violations, history := t.Violations()
+	return r.measure(repeat, seed, u, violations, history), err
+}
+
+// send starts each call at its intended time, whatever became of the earlier ones, and waits for all answers.
+func (r *run) send(ctx context.Context) {
+	var under sync.WaitGroup
+	defer under.Wait()
+	for _, c := range r.calls {
+		at := r.started.Add(c.At)
+		if !sleepUntil(ctx, at) {
+			return
+		}
+		r.intended[c.Number] = at
+		r.sent.Add(1)
+		under.Go(func() {
+			r.queries[c.Number] = r.client.Query(ctx, r.client.Pick(), fmt.Sprintf("caller-%d", c.Number), r.request(c))
+			r.ended.Add(1)
+		})
+	}
+}
+
+// request asks for one of few things, so that its fingerprint is soon known to be good. A distinct one
+// differs in a lower bound that lies below every key.
+func (r *run) request(c scenario.Call) wire.QueryRequest {
+	f := filters[c.Number%len(filters)]
+	if r.arm.Distinct {
+		f.KeyFrom = fmt.Sprintf("!%d", c.Number)
+	}
+	return wire.QueryRequest{Route: c.Route, Filter: &f, Limit: 20}
+}
+
+func (r *run) progress(ctx context.Context, repeat int) {
+	tick := time.NewTicker(progressEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			sc := r.settings.Scenario
+			r.settings.print("%s %s repeat %d: %.0fs of %v, %d sent, %d ended", sc.Name, r.arm.Name, repeat+1,
+				time.Since(r.started).Seconds(), sc.Duration.Of(), r.sent.Load(), r.ended.Load())
+		}
+	}
+}
+
+// sight records which configuration each VM shows, for the audit.
+func (r *run) sight(ctx context.Context) {
+	tick := time.NewTicker(sightEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		for _, v := range r.tier.VMs() {
+			if v.Running() {
+				sent := time.Now()
+				revision := v.Process().VM().Status().Revision
+				r.tier.Recorder().Sighting(audit.Sighting{VM: v.Address, Sent: sent, Returned: time.Now(), Revision: revision})
+			}
+		}
+	}
+}
+
+func sleepUntil(ctx context.Context, at time.Time) bool {
+	t := time.NewTimer(time.Until(at))
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/load/scenario/check.go
@@ -0,0 +1,79 @@
+package scenario
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"pistachioshore.dev/standin/sample"
+)
+
+// Bounds of a run, so that a mistyped file does not occupy a shared machine.
+const (
+	maxDuration  = 3 * time.Minute
+	maxPerSecond = 1000
+	maxVMs       = 4
+)
+
+var actions = []Action{SetFaults, Snapshot, ZoneOut, ZoneBack, PlatformDown, PlatformUp, KillVM}
+
+// check returns an error that names the first faulty field with its allowed range.
+func (s Scenario) check() error {
+	switch {
+	case s.Format != Format:
+		return errors.Newf("format: %d, allowed: %d", s.Format, Format)
+	case s.Name == "":
+		return errors.New("name: missing")
+	case !slices.Contains(sample.Firms(), s.Firm):
+		return errors.Newf("firm: %q, allowed: %v", s.Firm, sample.Firms())
+	case s.VMsPerZone < 1 || s.VMsPerZone > maxVMs:
+		return errors.Newf("vms-per-zone: %d, allowed: 1 to %d", s.VMsPerZone, maxVMs)
+	case s.Duration.Of() <= 0 || s.Duration.Of() > maxDuration:
+		return errors.Newf("duration: %v, allowed: above 0s to %v", s.Duration.Of(), maxDuration)
+	case s.ServiceTime.Of() <= 0:
+		return errors.Newf("service-time: %v, allowed: above 0s", s.ServiceTime.Of())
+	case len(s.Arrivals) == 0 || len(s.Phases) == 0 || len(s.Arms) == 0:
+		return errors.New("arrivals, phases and arms: at least one of each is needed")
+	}
+	for _, a := range s.Arrivals {
+		if err := a.check(); err != nil {
+			return err
+		}
+	}
+	return s.checkTimes()
+}
+
+func (a Arrival) check() error {
+	var last time.Duration
+	for _, r := range a.Rates {
+		if r.PerSecond < 0 || r.PerSecond > maxPerSecond {
+			return errors.Newf("arrivals %s: per-second: %v, allowed: 0 to %d", a.Route, r.PerSecond, maxPerSecond)
+		}
+		if r.From.Of() < last {
+			return errors.Newf("arrivals %s: from: %v, allowed: at least %v", a.Route, r.From.Of(), last)
+		}
+		last = r.From.Of()
+	}
+	return nil
+}
+
+func (s Scenario) checkTimes() error {
+	for _, e := range s.Events {
+		if !slices.Contains(actions, e.Action) {
+			return errors.Newf("events: action: %q, allowed: %v", e.Action, actions)
+		}
+		if e.Action == SetFaults && e.Faults == nil {
+			return errors.Newf("events: faults: missing at %v", e.At.Of())
+		}
+		if e.At.Of() < 0 || e.At.Of() > s.Duration.Of() {
+			return errors.Newf("events: at: %v, allowed: 0s to %v", e.At.Of(), s.Duration.Of())
+		}
+	}
+	for _, p := range s.Phases {
+		if p.From.Of() < 0 || p.To.Of() <= p.From.Of() || p.To.Of() > s.Duration.Of() {
+			return errors.Newf("phases %s: from and to: %v to %v, allowed: 0s to %v", p.Name, p.From.Of(), p.To.Of(), s.Duration.Of())
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/load/scenario/schedule.go
@@ -0,0 +1,53 @@
+package scenario
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Call is one request of the schedule.
+type Call struct {
+	At     time.Duration // intended start
+	Route  string
+	Number int // position in the schedule
+}
+
+// Schedule returns the requests of a run in the order of their intended starts. The gaps of a route are
+// exponential, and equal seeds give equal schedules, whatever the arm answers.
+func (s Scenario) Schedule(seed uint64) []Call {
+	var calls []Call
+	for i, a := range s.Arrivals {
+		r := rand.New(rand.NewPCG(seed, uint64(i)))
+		for _, at := range a.times(r, s.Duration.Of()) {
+			calls = append(calls, Call{At: at, Route: a.Route})
+		}
+	}
+	slices.SortStableFunc(calls, func(a, b Call) int { return int(a.At - b.At) })
+	for i := range calls {
+		calls[i].Number = i
+	}
+	return calls
+}
+
+func (a Arrival) times(r *rand.Rand, end time.Duration) []time.Duration {
+	var out []time.Duration
+	for i, rate := range a.Rates {
+		until := end
+		if i+1 < len(a.Rates) {
+			until = a.Rates[i+1].From.Of()
+		}
+		if rate.PerSecond == 0 {
+			continue
+		}
+		at := rate.From.Of()
+		for {
+			at += time.Duration(r.ExpFloat64() / rate.PerSecond * float64(time.Second))
+			if at >= until {
+				break
+			}
+			out = append(out, at)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/load/slopes/direct.go
@@ -0,0 +1,87 @@
+package slopes
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"pistachioshore.dev/catalog"
+	"pistachioshore.dev/record"
+	"pistachioshore.dev/result"
+	"pistachioshore.dev/transport"
+	"pistachioshore.dev/transport/rest"
+)
+
+// directDeadline bounds one direct call.
+const directDeadline = 2 * time.Second
+
+// direct calls all shards of a group in parallel from one process, each over a connection of its own,
+// and merges the results: the least that any tier has to do.
+type direct struct {
+	shards []catalog.Shard
+	conns  []transport.Conn
+	next   int
+}
+
+func newDirect(ctx context.Context, cfg *catalog.Config, group string) (*direct, error) {
+	shards, ok := cfg.Shards(cfg.Current, []string{group})
+	if !ok {
+		return nil, errors.New("the current snapshot has no shard map")
+	}
+	d, client := &direct{shards: shards}, rest.New()
+	for i, s := range shards {
+		svc, ok := cfg.Service(s.Service)
+		if !ok {
+			return nil, errors.Newf("unknown service %q", s.Service)
+		}
+		conn, err := client.Connect(ctx, svc.Servers[i/2%len(svc.Servers)].Address)
+		if err != nil {
+			return nil, errors.Wrap(err, "connect")
+		}
+		d.conns = append(d.conns, conn)
+	}
+	return d, nil
+}
+
+func (d *direct) call(ctx context.Context) error {
+	d.next++
+	deadline := time.Now().Add(directDeadline)
+	parts := make([][]record.Record, len(d.shards))
+	var failed atomic.Int64
+	var calls sync.WaitGroup
+	for i, s := range d.shards {
+		calls.Go(func() {
+			r := d.conns[i].Do(ctx, transport.Call{
+				RequestID: fmt.Sprintf("direct-%d/%s", d.next, s.Name), Attempt: 1, Deadline: deadline, Snapshot: 1,
+				Shard: s.Name, Limit: fanLimit,
+			})
+			if r.Code != result.Complete {
+				failed.Add(1)
+			}
+			parts[i] = r.Records
+		})
+	}
+	calls.Wait()
+	record.Merge(parts, fanLimit)
+	if n := failed.Load(); n > 0 {
+		return errors.Newf("%d of %d direct calls failed", n, len(d.shards))
+	}
+	return nil
+}
+
+func (d *direct) close() {
+	for _, c := range d.conns {
+		_ = c.Close()
+	}
+}
+
+// quantile returns the nearest value at or above the share q of the values.
+func quantile(values []float64, q float64) float64 {
+	sorted := slices.Sorted(slices.Values(values))
+	return sorted[min(int(q*float64(len(sorted))), len(sorted)-1)]
+}
--- /dev/null
+++ b/load/slopes/tables.go
@@ -0,0 +1,288 @@
+package slopes
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"runtime"
+	"time"
+
+	"pistachioshore.dev/balancer"
+	"pistachioshore.dev/balancer/outcome"
+	"pistachioshore.dev/catalog"
+	"pistachioshore.dev/codec"
+	"pistachioshore.dev/fleet"
+	"pistachioshore.dev/permit"
+	"pistachioshore.dev/quarantine"
+	"pistachioshore.dev/standin/sample"
+	"pistachioshore.dev/upstream"
+	"pistachioshore.dev/wire"
+)
+
+// Repetition of one operation.
+const (
+	rounds     = 5
+	roundTime  = 20 * time.Millisecond
+	tableItems = 10_000
+	mostItems  = 1 << 14 // entries that the permit and quarantine tables hold by default
+)
+
+// tables measures the memory and the operations of the state tables without any network.
+func (b *bench) tables(context.Context) error {
+	for _, servers := range []int{100, 1000, 4000} {
+		if err := b.catalog(servers); err != nil {
+			return err
+		}
+	}
+	for _, n := range []int{8, 100, 474} {
+		b.fleet(n, 2737) // servers of one of 19 zones
+	}
+	b.fleet(8, 113)
+	for _, n := range []int{6, 100, 1000} {
+		b.owned(n)
+	}
+	b.permits()
+	b.fingerprints()
+	b.candidates()
+	return b.frames()
+}
+
+// micros returns the time of one call in microseconds, one value for each round.
+func micros(fn func()) []float64 {
+	var out []float64
+	for range rounds {
+		n, began := 0, time.Now()
+		for time.Since(began) < roundTime {
+			fn()
+			n++
+		}
+		out = append(out, float64(time.Since(began).Nanoseconds())/1000/float64(n))
+	}
+	return out
+}
+
+// heap returns the bytes that what build returns keeps alive.
+func heap[T any](build func() T) float64 {
+	before := alive()
+	kept := build()
+	after := alive()
+	runtime.KeepAlive(kept)
+	return after - before
+}
+
+func alive() float64 {
+	runtime.GC()
+	runtime.GC() // the first run frees what finalizers and pools held
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
+
+func address(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)}), 7000)
+}
+
+// document returns a configuration with a number of servers, two for each service.
+func document(servers int) wire.Configuration {
+	cfg, _ := sample.Config("armor", 20_000)
+	g := &cfg.Groups[0]
+	g.Services = nil
+	var shards []wire.ShardSettings
+	for i := range servers / 2 {
+		name := fmt.Sprintf("%s-%05d", g.Name, i)
+		svc := wire.ServiceSettings{Name: name}
+		for j := range 2 {
+			svc.Servers = append(svc.Servers, wire.ServerSettings{
+				Name: fmt.Sprintf("%s-%c", name, 'a'+j), Zone: cfg.Zones[(i+j)%3].Name, Address: address(2*i + j).String(),
+			})
+		}
+		g.Services = append(g.Services, svc)
+		shards = append(shards, wire.ShardSettings{
+			Name: name, Group: g.Name, Service: name, From: fmt.Sprintf("%05d", i), To: fmt.Sprintf("%05d", i+1),
+		})
+	}
+	cfg.Groups = cfg.Groups[:1]
+	cfg.Layouts = []wire.LayoutSettings{{Name: cfg.Layouts[0].Name, Shards: shards}}
+	r := cfg.Routes[0]
+	r.Groups = []string{g.Name}
+	cfg.Routes = []wire.RouteSettings{r} // a list of its own, because the sample configurations share theirs
+	return cfg
+}
+
+func (b *bench) catalog(servers int) error {
+	raw, err := sample.YAML(document(servers))
+	if err != nil {
+		return err
+	}
+	if _, faults := codec.ParseConfig(raw); len(faults) > 0 {
+		return faults[0]
+	}
+	b.add("catalog", servers, "value, per server", "B", float64(len(raw))/float64(servers))
+	b.add("catalog", servers, "memory, per server", "B", heap(func() *catalog.Config {
+		cfg, _ := codec.ParseConfig(raw)
+		return cfg
+	})/float64(servers))
+	var times []float64
+	for range rounds {
+		began := time.Now()
+		_, _ = codec.ParseConfig(raw)
+		times = append(times, float64(time.Since(began).Microseconds())/float64(servers))
+	}
+	b.add("catalog", servers, "check and parse, per server", "us", times...)
+	return nil
+}
+
+// fleet measures one VM's view of n peers in its zone with a number of upstreams.
+func (b *bench) fleet(n, upstreams int) {
+	zone, now := "z", time.Now()
+	names := make([]fleet.Upstream, upstreams)
+	for i := range names {
+		names[i] = fleet.Upstream{Name: fmt.Sprintf("server-%05d", i), Zone: zone}
+	}
+	beat := func(i int, revision uint64) fleet.Heartbeat {
+		h := fleet.Heartbeat{Address: address(i), Zone: zone, Incarnation: 1, Term: 1, Ready: true, Revision: revision, Digest: 1}
+		for j := range 8 {
+			h.Heard = append(h.Heard, fleet.HeardPeer{Address: address(1 + j), Incarnation: 1, Term: 1, Age: time.Millisecond})
+		}
+		return h
+	}
+	var t *fleet.Table
+	bytes := heap(func() *fleet.Table {
+		t = fleet.New(fleet.Self{Address: address(0), Zone: zone, Incarnation: 1}, fleet.DefaultSettings(), now)
+		t.SetUpstreams(now, names)
+		t.Heartbeat(now, 1, 1, true)
+		for i := 1; i <= n; i++ {
+			t.Hear(now, beat(i, 1))
+		}
+		t.Tick(now)
+		return t
+	})
+	part := fmt.Sprintf("fleet/%d", upstreams)
+	b.add(part, n, "memory", "B", bytes)
+	i := 0
+	b.add(part, n, "heartbeat received", "us", micros(func() {
+		i++
+		t.Hear(now, beat(1+i%n, 1))
+	})...)
+	b.add(part, n, "tick", "us", micros(func() { t.Tick(now) })...)
+	b.add(part, n, "heartbeat built", "us", micros(func() { t.Heartbeat(now, 1, 1, true) })...)
+	incarnation := uint64(1)
+	b.add(part, n, "replaced VM", "us", micros(func() {
+		incarnation++
+		h := beat(1, 1)
+		h.Incarnation = incarnation
+		t.Hear(now, h)
+		t.Tick(now)
+	})...)
+}
+
+// owned measures the table of owned upstreams when all are idle.
+func (b *bench) owned(n int) {
+	now := time.Now()
+	raw, _ := sample.YAML(document(2 * n))
+	cfg, _ := codec.ParseConfig(raw)
+	if cfg == nil {
+		return
+	}
+	var t *upstream.Table[struct{}]
+	bytes := heap(func() *upstream.Table[struct{}] {
+		t = upstream.New[struct{}](upstream.DefaultSettings())
+		t.Configure(now, cfg, 2)
+		for _, svc := range cfg.Groups[0].Services {
+			t.Adopt(now, svc.Servers[0].Name, upstream.Handover{})
+		}
+		return t
+	})
+	b.add("owned", n, "memory, per upstream", "B", bytes/float64(n))
+	b.add("owned", n, "tick, per upstream", "us", perItem(micros(func() { t.Tick(now) }), n)...)
+}
+
+func perItem(values []float64, n int) []float64 {
+	for i := range values {
+		values[i] /= float64(n)
+	}
+	return values
+}
+
+func (b *bench) permits() {
+	now := time.Now()
+	var t *permit.Table
+	bytes := heap(func() *permit.Table {
+		t = permit.New(address(0), 1, permit.Defaults())
+		for i := range tableItems {
+			_, _ = t.Issue(now, fmt.Sprintf("token-%016d", i)) // below the table's limit
+		}
+		return t
+	})
+	b.add("permit", tableItems, "memory, per permit", "B", bytes/tableItems)
+	var at time.Duration
+	b.add("permit", tableItems, "issue, consume and finish", "us", micros(func() {
+		at += 10 * time.Millisecond // permits expire and are forgotten meanwhile
+		p, err := t.Issue(now.Add(at), "token")
+		if err == nil {
+			t.Consume(now.Add(at), p, 1)
+			t.Finish(now.Add(at), p, permit.Outcome{})
+		}
+		t.Expire(now.Add(at))
+	})...)
+}
+
+func (b *bench) fingerprints() {
+	now := time.Now()
+	var t *quarantine.Table
+	bytes := heap(func() *quarantine.Table {
+		t = quarantine.New(quarantine.Defaults())
+		for i := range tableItems {
+			t.Learn(now, uint64(i), quarantine.Answer{Verdict: quarantine.Good, Until: now.Add(time.Minute)})
+		}
+		return t
+	})
+	b.add("quarantine", tableItems, "memory, per fingerprint", "B", bytes/tableItems)
+	i := uint64(0)
+	b.add("quarantine", tableItems, "look-up", "us", micros(func() {
+		i++
+		t.Cached(now, i%tableItems)
+	})...)
+	b.add("quarantine", mostItems, "ask and report of a new one", "us", micros(func() {
+		i++
+		t.Ask(now, 1<<32+i, now.Add(time.Second))
+		t.Report(now, 1<<32+i, quarantine.Succeeded, "")
+	})...)
+}
+
+func (b *bench) candidates() {
+	now := time.Now()
+	names := make([]string, tableItems)
+	for i := range names {
+		names[i] = fmt.Sprintf("server-%05d", i)
+	}
+	bytes := heap(func() *outcome.Policy[string] {
+		p := outcome.New[string]()
+		for _, n := range names {
+			p.Observe(now, n, balancer.Observation{OK: true, Elapsed: time.Millisecond})
+		}
+		return p
+	})
+	b.add("balancer", tableItems, "memory, per server", "B", bytes/tableItems)
+}
+
+// frames measures the heartbeat's encoding.
+func (b *bench) frames() error {
+	c, err := codec.New()
+	if err != nil {
+		return err
+	}
+	h := &wire.Heartbeat{VM: address(0), Zone: "cherbourg-sud", Incarnation: 1 << 60, Term: 3, Ready: true, Revision: 12, Digest: 1 << 62}
+	for i := range 8 {
+		h.Heard = append(h.Heard, wire.HeardPeer{VM: address(i), Incarnation: 1 << 60, Term: 3, Age: time.Millisecond})
+	}
+	e := &wire.Envelope{Kind: codec.KindHeartbeat, Heartbeat: h}
+	raw, err := c.EncodeFrame(e)
+	if err != nil {
+		return err
+	}
+	b.add("heartbeat", 8, "frame", "B", float64(len(raw)))
+	b.add("heartbeat", 8, "encode", "us", micros(func() { _, _ = c.EncodeFrame(e) })...)
+	b.add("heartbeat", 8, "decode", "us", micros(func() { _, _ = c.DecodeFrame(raw, 1<<20) })...)
+	return nil
+}
--- /dev/null
+++ b/load/usage.go
@@ -0,0 +1,63 @@
+package load
+
+import (
+	"os"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+)
+
+// Usage is the processor time that a run took, and how busy the whole machine was meanwhile.
+type Usage struct {
+	Cores   float64 `json:"cores"`        // used by stand-ins, VMs and callers together
+	Machine float64 `json:"machine-busy"` // share of all cores that any process used
+}
+
+type usage struct {
+	at         time.Time
+	cpu        time.Duration
+	busy, idle float64
+}
+
+func startUsage() usage {
+	busy, idle := machineTimes()
+	return usage{at: time.Now(), cpu: CPUTime(), busy: busy, idle: idle}
+}
+
+func (u usage) stop() Usage {
+	busy, idle := machineTimes()
+	out := Usage{Cores: (CPUTime() - u.cpu).Seconds() / time.Since(u.at).Seconds()}
+	if total := busy - u.busy + idle - u.idle; total > 0 {
+		out.Machine = (busy - u.busy) / total
+	}
+	return out
+}
+
+// CPUTime returns the processor time that this process has used.
+func CPUTime() time.Duration {
+	var r syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &r) != nil {
+		return 0
+	}
+	return time.Duration(r.Utime.Nano() + r.Stime.Nano())
+}
+
+// machineTimes returns the ticks that all cores were busy and idle since the start of the machine.
+func machineTimes() (busy, idle float64) {
+	raw, err := os.ReadFile("/proc/stat")
+	if err != nil {
+		return 0, 0
+	}
+	line, _, _ := strings.Cut(string(raw), "\n")
+	for i, f := range strings.Fields(line)[1:] {
+		v, _ := strconv.ParseFloat(f, 64) // the kernel writes whole numbers
+		switch i {
+		case 3, 4:
+			idle += v
+		case 0, 1, 2, 5, 6, 7:
+			busy += v
+		}
+	}
+	return busy, idle
+}
