--- a/cmd/pistachio-load/run.go
+++ b/cmd/pistachio-load/run.go
@@ -23,6 +23,7 @@
 	Arm      []string `help:"Arms to run instead of the scenario's; the first is the base of ratios."`
 	Repeats  int      `default:"1" help:"Times that each arm runs; timing claims need at least 5."`
 	Report   string   `default:"text" enum:"text,json,html" help:"Form of the report on standard output."`
+	Log      string   `type:"path" help:"File for the log lines of the VMs; they are dropped if absent."`
 	Out      string   `type:"path" help:"Directory for report.json, figures.csv, report.html and one plot for each phase."`
 }
 
@@ -34,7 +35,16 @@
 	if err != nil {
 		return err
 	}
-	r, err := load.Run(ctx, load.Settings{Scenario: sc, Seed: c.Seed, Arms: c.Arm, Repeats: c.Repeats, Progress: os.Stderr})
+	s := load.Settings{Scenario: sc, Seed: c.Seed, Arms: c.Arm, Repeats: c.Repeats, Progress: os.Stderr}
+	if c.Log != "" {
+		f, err := os.Create(c.Log)
+		if err != nil {
+			return err
+		}
+		defer func() { _ = f.Close() }()
+		s.Log = f
+	}
+	r, err := load.Run(ctx, s)
 	if err != nil {
 		return err
 	}
--- a/demo/tier/client.go
+++ b/demo/tier/client.go
@@ -30,6 +30,8 @@
 	tier *Tier
 	http *http.Client
 	next atomic.Uint64
+
+	answered func(a wire.QueryAnswer)
 }
 
 // NewClient returns a client of a tier.
@@ -40,6 +42,12 @@
 	}}
 }
 
+// OnAnswer has fn called with each answer to a look-up, which names the reasons of missing shards. It is
+// set before the first request.
+func (c *Client) OnAnswer(fn func(a wire.QueryAnswer)) {
+	c.answered = fn
+}
+
 // Pick returns the next VM that is ready, or any that runs if none is.
 func (c *Client) Pick() *VM {
 	vms := c.tier.VMs()
@@ -74,6 +82,9 @@
 		q.SetRefusal(*refusal)
 	default:
 		q.SetAnswer(*a)
+		if c.answered != nil {
+			c.answered(*a)
+		}
 	}
 	c.tier.recorder.Query(q)
 	return q
--- a/load/figures.go
+++ b/load/figures.go
@@ -36,6 +36,7 @@
 	Requests int                    `json:"requests"`
 	Codes    map[string]int         `json:"codes"`
 	Refused  map[string]int         `json:"refused"` // by priority class
+	Missing  map[string]int         `json:"missing"` // shards that answers lack, by reason
 	P50      float64                `json:"p50-ms"`
 	P95      float64                `json:"p95-ms"`
 	P99      float64                `json:"p99-ms"`
@@ -57,7 +58,7 @@
 
 func newTally(phase, route string) *tally {
 	return &tally{
-		figures:   Figures{Phase: phase, Route: route, Codes: map[string]int{}, Refused: map[string]int{}},
+		figures:   Figures{Phase: phase, Route: route, Codes: map[string]int{}, Refused: map[string]int{}, Missing: map[string]int{}},
 		latencies: hdrhistogram.New(leastLatency, mostLatency, digits),
 	}
 }
@@ -131,8 +132,10 @@
 				byRoute[c.Route] = newTally(p.Name, c.Route)
 			}
 			q := r.queries[c.Number]
-			all.add(q, r.intended[c.Number], route, starts[q.Request])
-			byRoute[c.Route].add(q, r.intended[c.Number], route, starts[q.Request])
+			for _, t := range []*tally{all, byRoute[c.Route]} {
+				t.add(q, r.intended[c.Number], route, starts[q.Request])
+				r.missing.count(q.Request, t.figures.Missing)
+			}
 		}
 		length := p.To.Of() - p.From.Of()
 		out.Figures = append(out.Figures, all.finish(length))
--- a/load/load.go
+++ b/load/load.go
@@ -23,6 +23,7 @@
 	Arms     []string // those of the scenario if empty
 	Repeats  int
 	Progress io.Writer // one line every two seconds; nothing if nil
+	Log      io.Writer // log lines of the VMs; discarded if nil
 }
 
 // Run runs the arms in turn on the same seed, as often as asked for; repeat n uses the seed plus n.
--- a/load/report.go
+++ b/load/report.go
@@ -133,7 +133,7 @@
 			run.Arm, run.Repeat, run.Usage.Cores, 100*run.Usage.Machine, run.Cold, run.Violations)
 		for _, f := range run.Figures {
 			if f.Route == "" {
-				fmt.Fprintf(w, "   %s: %d requests, codes %v, refused %v\n", f.Phase, f.Requests, f.Codes, f.Refused)
+				fmt.Fprintf(w, "   %s: %d requests, codes %v, refused %v, missing %v\n", f.Phase, f.Requests, f.Codes, f.Refused, f.Missing)
 			}
 		}
 		for _, d := range run.Details {
--- a/load/run.go
+++ b/load/run.go
@@ -45,6 +45,7 @@
 	started  time.Time
 	intended []time.Time
 	queries  []audit.Query // by the number of their call
+	missing  *reasons
 	ended    atomic.Int64
 	sent     atomic.Int64
 }
@@ -60,12 +61,14 @@
 		},
 		Config: []sample.Option{sample.WithSnapshots(1)},
 		Adjust: a.Adjust,
-		Extra:  a.Options(loads.of),
+		Extra:  a.Options(loads.of), LogOutput: s.Log,
 	})
 	if err != nil {
 		return ArmRun{}, errors.Wrap(err, "start the tier")
 	}
 	r := &run{settings: s, arm: a, tier: t, client: tier.NewClient(t), calls: sc.Schedule(seed)}
+	r.missing = newReasons()
+	r.client.OnAnswer(r.missing.add)
 	r.queries = make([]audit.Query, len(r.calls))
 	r.intended = make([]time.Time, len(r.calls))
 	running, stop := context.WithCancel(ctx)
--- a/load/slopes/fanout.go
+++ b/load/slopes/fanout.go
@@ -29,6 +29,7 @@
 	fanService     = 2 * time.Millisecond
 	fanWarm        = 30 // queries before the measurement
 	fanDeadline    = "2s"
+	targetTime     = 87 // ms, of section 1.6 of the design page
 )
 
 // fanOuts measures the tier against direct parallel calls at several fan-outs.
@@ -108,7 +109,7 @@
 
 // pairs runs the tier and the direct call in turn.
 func (b *bench) pairs(n int, idle float64, tierCall, directCall func() error) error {
-	var cpuTier, cpuDirect, own, p50, p99, ratio []float64
+	var cpuTier, cpuDirect, own, p50, p99, ratio, all []float64
 	for range b.settings.Pairs {
 		x, err := b.half(n, idle, tierCall)
 		if err != nil {
@@ -121,6 +122,7 @@
 		cpuTier, cpuDirect, own = append(cpuTier, x.cpu), append(cpuDirect, y.cpu), append(own, x.cpu-y.cpu)
 		p50 = append(p50, quantile(x.latencies, 0.5)-quantile(y.latencies, 0.5))
 		p99 = append(p99, quantile(x.latencies, 0.99)-quantile(y.latencies, 0.99))
+		all = append(all, x.latencies...)
 		ratio = append(ratio, quantile(x.latencies, 0.5)/quantile(y.latencies, 0.5))
 	}
 	b.add("fan-out", n, "tier and stand-ins, per sub-request", "us CPU", cpuTier...)
@@ -129,9 +131,22 @@
 	b.add("fan-out", n, "added latency, median", "ms", p50...)
 	b.add("fan-out", n, "added latency, p99", "ms", p99...)
 	b.add("fan-out", n, "median, tier over direct", "ratio", ratio...)
+	b.add("fan-out", n, "latency of the tier, p99", "ms", quantile(all, 0.99))
+	b.add("fan-out", n, "answers within the target time", "share", within(all, targetTime))
 	return nil
 }
 
+// within returns the share of the latencies that are at most limit.
+func within(latencies []float64, limit float64) float64 {
+	n := 0
+	for _, l := range latencies {
+		if l <= limit {
+			n++
+		}
+	}
+	return float64(n) / float64(len(latencies))
+}
+
 func (b *bench) half(n int, idle float64, call func() error) (half, error) {
 	var h half
 	began, before := time.Now(), load.CPUTime()
