Audit zones that stay out until the end of a run

The platform-out scenario drains a zone and never brings it back, and an outage was recorded only when the zone returned, so the audit did not check P4 there. Zones still out at the end are now recorded too.

--- a/load/events.go
+++ b/load/events.go
@@ -16,6 +16,11 @@
 // events carries the events of the scenario out at their times.
 func (r *run) events(ctx context.Context) error {
 	drained := map[string]time.Time{}
+	defer func() {
+		for zone, from := range drained { // zones that stay out are audited until the end of the run
+			r.tier.Recorder().Outage(audit.Outage{Property: audit.ZoneOut, Zone: zone, From: from})
+		}
+	}()
 	for _, e := range r.settings.Scenario.Events {
 		if !sleepUntil(ctx, r.started.Add(e.At.Of())) {
 			return nil
@@ -45,6 +50,7 @@
 		err := r.markZone(e.Target.Zone, false)
 		at, publishErr := r.tier.Publish(sample.WithZonesOut())
 		r.tier.Recorder().Outage(audit.Outage{Property: audit.ZoneOut, Zone: e.Target.Zone, From: drained[e.Target.Zone], To: at})
+		delete(drained, e.Target.Zone)
 		return errors.CombineErrors(err, publishErr)
 	case scenario.PlatformDown:
 		return r.tier.Platform().SetFaults(platform.Faults{Down: platform.DownClose})
