Add the fault matrix over a small tier

A cell puts faults at the step of a watched request and compares the history with the counts of the upstreams. The transports take a dial function, so that a tier can cut, silence and join the paths of its VMs; one VM can run in a process of its own, to be paused.

--- a/demo/tier/client.go
+++ b/demo/tier/client.go
@@ -50,7 +50,7 @@
 		if !v.Running() {
 			continue
 		}
-		if v.process.VM().Ready() {
+		if v.Ready() {
 			return v
 		}
 		running = v
@@ -88,7 +88,22 @@
 
 // Order gets a permit from one VM and sends the order to others until its outcome is known.
 func (c *Client) Order(ctx context.Context, caller string, req wire.OrderRequest) audit.Order {
-	v := c.Pick()
+	return c.order(ctx, c.Pick(), c.Pick, caller, req)
+}
+
+// OrderAt gets the permit from a VM and sends the first try of the order to it.
+func (c *Client) OrderAt(ctx context.Context, v *VM, caller string, req wire.OrderRequest) audit.Order {
+	first := true
+	return c.order(ctx, v, func() *VM {
+		if first {
+			first = false
+			return v
+		}
+		return c.Pick()
+	}, caller, req)
+}
+
+func (c *Client) order(ctx context.Context, v *VM, next func() *VM, caller string, req wire.OrderRequest) audit.Order {
 	permit, refusal, err := post[wire.Permit](ctx, c.http, v, "/v1/permits", struct{}{})
 	if err != nil || refusal != nil {
 		o := audit.Order{Operation: req.Operation, Key: req.Key, Quantity: req.Quantity}
@@ -101,7 +116,7 @@
 		if n > 0 && !sleep(ctx, orderRetry) {
 			break
 		}
-		last = c.tryOrder(ctx, c.Pick(), caller, req)
+		last = c.tryOrder(ctx, next(), caller, req)
 		if last.Code != 0 && last.Code.Effect() != result.MayHaveRun {
 			break
 		}
--- a/demo/tier/tier.go
+++ b/demo/tier/tier.go
@@ -15,6 +15,7 @@
 	"pistachioshore.dev/audit"
 	"pistachioshore.dev/catalog"
 	"pistachioshore.dev/codec"
+	"pistachioshore.dev/entry/vm"
 	"pistachioshore.dev/standin"
 	"pistachioshore.dev/standin/platform"
 	"pistachioshore.dev/standin/sample"
@@ -30,7 +31,12 @@
 	Config     []sample.Option
 	Adjust     func(cfg *wire.Configuration) // changes every published configuration; may be nil
 	LogOutput  io.Writer                     // log lines of the VMs; discarded if nil
-	Extra      []fx.Option                   // replaces parts of every VM
+	Extra      []fx.Option                   // replaces parts of every VM in this process
+
+	// Watcher returns what learns of the steps of requests at a VM in this process; may be nil.
+	Watcher func(vm netip.AddrPort) vm.Watcher
+	// Runner returns what runs a VM, or nil to run it in this process; may be nil.
+	Runner func(p Place) (Runner, error)
 }
 
 // Tier is a running tier.
@@ -42,6 +48,7 @@
 	addresses map[string]netip.AddrPort
 	listens   map[string]standin.Listen
 	recorder  *audit.Recorder
+	network   *Network
 
 	mu       sync.Mutex
 	vms      []*VM
@@ -57,6 +64,7 @@
 	}
 	t := &Tier{
 		settings: s, addresses: map[string]netip.AddrPort{}, listens: map[string]standin.Listen{},
+		network:  newNetwork(),
 		revision: 1, options: s.Config,
 	}
 	cfg, raw, err := t.config()
@@ -89,6 +97,11 @@
 	return t.recorder
 }
 
+// Network returns the paths between the sides of the tier.
+func (t *Tier) Network() *Network {
+	return t.network
+}
+
 // VMs returns the VMs in the order of their start, stopped ones included.
 func (t *Tier) VMs() []*VM {
 	t.mu.Lock()
@@ -99,19 +112,28 @@
 // Publish publishes the next revision of the configuration, changed by further options, and returns
 // the time of the publication.
 func (t *Tier) Publish(opts ...sample.Option) (time.Time, error) {
+	at, revision, err := t.PublishUnseen(opts...)
+	if err == nil {
+		t.recorder.Publication(audit.Publication{Revision: revision, At: at})
+	}
+	return at, err
+}
+
+// PublishUnseen publishes like Publish but records nothing, for a time in which the platform does not
+// show what is published.
+func (t *Tier) PublishUnseen(opts ...sample.Option) (at time.Time, revision uint64, err error) {
 	t.mu.Lock()
 	t.revision++
 	t.options = append(t.options, opts...)
 	t.mu.Unlock()
 	cfg, raw, err := t.config()
 	if err != nil {
-		return time.Time{}, err
+		return time.Time{}, 0, err
 	}
 	t.upstreams.Update(cfg) // upstreams hold a snapshot before queries pin it
-	at := time.Now()
-	t.recorder.Publication(audit.Publication{Revision: cfg.Revision, At: at})
+	at = time.Now()
 	_, err = t.platform.Publish(raw)
-	return at, err
+	return at, cfg.Revision, err
 }
 
 // Violations compares what was recorded with what the upstreams counted. The last configuration has
@@ -191,9 +213,16 @@
 	if err != nil {
 		return errors.Wrap(err, "serve upstreams")
 	}
+	for _, u := range t.upstreams.All() {
+		t.network.place(u.Address(), u.Zone())
+	}
 	t.platform = platform.New(raw)
 	t.server, err = standin.Serve(netip.AddrPortFrom(loopback, 0), t.platform)
-	return errors.Wrap(err, "serve platform")
+	if err != nil {
+		return errors.Wrap(err, "serve platform")
+	}
+	t.network.place(t.server.Address(), PlatformSide)
+	return nil
 }
 
 var loopback = netip.AddrFrom4([4]byte{127, 0, 0, 1})
@@ -224,13 +253,36 @@
 		return err
 	}
 	for _, v := range t.vms {
-		if err := v.process.Start(ctx); err != nil {
+		if err := v.runner.Start(ctx); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// Add starts one more VM in a zone, at an address of a VM that has ended or, with the zero address, at a
+// new one, and lists it; it does not wait until the VM is ready.
+func (t *Tier) Add(ctx context.Context, zone string, address netip.AddrPort) (*VM, error) {
+	if !address.IsValid() {
+		address = netip.AddrPortFrom(loopback, 0)
+	}
+	l, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return nil, errors.Wrap(err, "listen")
+	}
+	v, err := newVM(t, zone, l)
+	if err != nil {
+		return nil, err
+	}
+	t.mu.Lock()
+	t.vms = append(t.vms, v)
+	t.mu.Unlock()
+	if err := t.List(); err != nil {
+		return nil, err
+	}
+	return v, v.runner.Start(ctx)
+}
+
 // List publishes the VMs that run in the platform's list.
 func (t *Tier) List() error {
 	var list []wire.VM
--- a/demo/tier/vm.go
+++ b/demo/tier/vm.go
@@ -27,7 +27,7 @@
 	Address netip.AddrPort
 	Zone    string
 
-	process  *process.Process
+	runner   Runner
 	recorder *audit.Recorder
 
 	mu    sync.Mutex
@@ -36,24 +36,56 @@
 
 func newVM(t *Tier, zone string, l net.Listener) (*VM, error) {
 	address := l.Addr().(*net.TCPAddr).AddrPort()
+	t.network.place(address, zone)
+	p := Place{Address: address, Zone: zone, Platform: t.server.Address(), Number: len(t.VMs()), Listener: l}
+	r, err := t.runner(p)
+	return &VM{Address: address, Zone: zone, runner: r, recorder: t.recorder}, err
+}
+
+// runner returns what runs a VM: what the settings choose, or else a process of the VM inside this one.
+func (t *Tier) runner(place Place) (Runner, error) {
+	if t.settings.Runner != nil {
+		if r, err := t.settings.Runner(place); r != nil || err != nil {
+			return r, err
+		}
+	}
 	o := telemetry.DefaultOptions()
-	o.VM, o.Zone = address, zone
+	o.VM, o.Zone = place.Address, place.Zone
 	p, err := process.New(process.Settings{
 		VM: vm.Settings{
-			Address: address, Zone: zone, Workers: workers, BalancerLag: balancerLag,
+			Address: place.Address, Zone: place.Zone, Workers: workers, BalancerLag: balancerLag,
 			Incarnation: uint64(time.Now().UnixNano()),
 		},
-		Platform:  t.server.Address(),
+		Platform:  place.Platform,
 		Telemetry: o,
 		LogOutput: t.settings.LogOutput,
-		Listener:  l,
+		Listener:  place.Listener,
+		Dial:      t.network.dialFrom(place.Address),
+		Watcher:   t.watcher(place.Address),
 	}, t.settings.Extra...)
-	return &VM{Address: address, Zone: zone, process: p, recorder: t.recorder}, err
+	return inProcess{p}, err
+}
+
+func (t *Tier) watcher(address netip.AddrPort) vm.Watcher {
+	if t.settings.Watcher == nil {
+		return nil
+	}
+	return t.settings.Watcher(address)
+}
+
+// Runner returns what runs the VM.
+func (v *VM) Runner() Runner {
+	return v.runner
+}
+
+// Ready reports whether the VM asks the load balancer for requests.
+func (v *VM) Ready() bool {
+	return v.runner.Ready()
 }
 
-// Process returns the process of the VM.
-func (v *VM) Process() *process.Process {
-	return v.process
+// Revision returns the revision that the VM shows, 0 if it shows none.
+func (v *VM) Revision() uint64 {
+	return v.runner.Revision()
 }
 
 // Running reports whether the VM was neither stopped nor killed.
@@ -69,7 +101,7 @@
 		return nil
 	}
 	from := time.Now()
-	err := v.process.Stop(ctx)
+	err := v.runner.Stop(ctx)
 	v.recorder.Stop(audit.Stop{VM: v.Address, From: from, To: time.Now()})
 	return err
 }
@@ -77,7 +109,7 @@
 // Kill ends the VM as a crash would; a second call does nothing.
 func (v *VM) Kill() {
 	if v.end() {
-		v.process.Kill()
+		v.runner.Kill()
 	}
 }
 
@@ -93,7 +125,7 @@
 func (v *VM) waitReady(ctx context.Context) error {
 	look := time.NewTicker(readyLook)
 	defer look.Stop()
-	for !v.process.VM().Ready() {
+	for !v.Ready() {
 		select {
 		case <-look.C:
 		case <-ctx.Done():
--- a/demo/workload.go
+++ b/demo/workload.go
@@ -103,7 +103,7 @@
 			continue
 		}
 		sent := time.Now()
-		revision := v.Process().VM().Status().Revision
+		revision := v.Revision()
 		w.tier.Recorder().Sighting(audit.Sighting{VM: v.Address, Sent: sent, Returned: time.Now(), Revision: revision})
 	}
 }
--- a/entry/process/process.go
+++ b/entry/process/process.go
@@ -25,6 +25,7 @@
 	"pistachioshore.dev/entry/front"
 	"pistachioshore.dev/entry/vm"
 	"pistachioshore.dev/telemetry"
+	"pistachioshore.dev/transport"
 	"pistachioshore.dev/transport/feed"
 	"pistachioshore.dev/transport/rest"
 	"pistachioshore.dev/transport/socket"
@@ -48,7 +49,9 @@
 	Platform  netip.AddrPort
 	Telemetry telemetry.Options
 	LogOutput io.Writer
-	Listener  net.Listener // already open on the VM's address; nil to listen at the start
+	Listener  net.Listener   // already open on the VM's address; nil to listen at the start
+	Dial      transport.Dial // opens every connection of the VM; nil for the network itself
+	Watcher   vm.Watcher     // nil outside tests
 }
 
 // Process is one entry VM with everything that it holds.
@@ -144,19 +147,27 @@
 	return &tracing{provider: provider, propagator: propagator, shutdown: shutdown}, nil
 }
 
-func newObservers(l log.Logger, m *metrics, t *tracing) vm.Observers {
-	return vm.Observers{Log: l, Counters: m.counters, Tracer: t.provider.Tracer("pistachioshore.dev/entry")}
+func newObservers(s Settings, l log.Logger, m *metrics, t *tracing) vm.Observers {
+	return vm.Observers{Log: l, Counters: m.counters, Tracer: t.provider.Tracer("pistachioshore.dev/entry"), Watcher: s.Watcher}
 }
 
-func newHub(s vm.Settings, c *codec.Codec) *socket.Hub {
-	return socket.New(wire.Hello{VM: s.Address, Zone: s.Zone, Incarnation: s.Incarnation}, c)
+// dialer returns how the connections of the VM are opened.
+func (s Settings) dialer() transport.Dial {
+	if s.Dial != nil {
+		return s.Dial
+	}
+	return new(net.Dialer).DialContext
+}
+
+func newHub(ps Settings, s vm.Settings, c *codec.Codec) *socket.Hub {
+	return socket.New(wire.Hello{VM: s.Address, Zone: s.Zone, Incarnation: s.Incarnation}, c, socket.WithDial(ps.dialer()))
 }
 
 func newTransports(s Settings, h *socket.Hub, t *tracing) vm.Transports {
 	return vm.Transports{
-		Platform:  feed.New(s.Platform),
-		Upstreams: rest.New(rest.WithTrace(otelhttp.WithTracerProvider(t.provider), otelhttp.WithPropagators(t.propagator))),
-		Canceller: rest.NewControls(),
+		Platform:  feed.New(s.Platform, feed.WithDial(s.dialer())),
+		Upstreams: rest.New(rest.WithDial(s.dialer()), rest.WithTrace(otelhttp.WithTracerProvider(t.provider), otelhttp.WithPropagators(t.propagator))),
+		Canceller: rest.NewControls(rest.WithDial(s.dialer())),
 		Peers:     h,
 	}
 }
--- a/matrix/matrix.go
+++ b/matrix/matrix.go
@@ -1,2 +1,122 @@
 // Package matrix runs every fault at every step of a request and checks what must always hold.
 package matrix
+
+import (
+	"bufio"
+	"embed"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"pistachioshore.dev/entry/vm"
+)
+
+//go:embed data
+var data embed.FS
+
+// Fault is one line of the table of faults.
+type Fault struct {
+	Name  string
+	Lasts time.Duration
+}
+
+// Step is one line of the table of steps.
+type Step struct {
+	Name   string
+	marker marker
+}
+
+// marker is what shows that a request has reached a step.
+type marker struct {
+	step  vm.Step // the zero value if the tier has no request
+	start bool    // wait for the start at the upstream after the step
+}
+
+// Cell is one or more faults that begin at a step of a watched request.
+type Cell struct {
+	Faults []Fault
+	Step   Step
+	Delays []time.Duration // of the faults after the first
+}
+
+// Name returns the names of the faults.
+func (c Cell) Name() string {
+	names := make([]string, 0, len(c.Faults))
+	for _, f := range c.Faults {
+		names = append(names, f.Name)
+	}
+	return strings.Join(names, "+")
+}
+
+// Faults returns the table of faults.
+func Faults() ([]Fault, error) {
+	lines, err := read("faults.txt")
+	if err != nil {
+		return nil, err
+	}
+	faults := make([]Fault, 0, len(lines))
+	for _, l := range lines {
+		lasts, err := time.ParseDuration(l[1])
+		if err != nil {
+			return nil, errors.Wrapf(err, "fault %s", l[0])
+		}
+		faults = append(faults, Fault{Name: l[0], Lasts: lasts})
+	}
+	return faults, nil
+}
+
+// Steps returns the table of steps.
+func Steps() ([]Step, error) {
+	lines, err := read("steps.txt")
+	if err != nil {
+		return nil, err
+	}
+	steps := make([]Step, 0, len(lines))
+	for _, l := range lines {
+		m, ok := parseMarker(l[1])
+		if !ok {
+			return nil, errors.Newf("step %s: unknown marker %q", l[0], l[1])
+		}
+		steps = append(steps, Step{Name: l[0], marker: m})
+	}
+	return steps, nil
+}
+
+func parseMarker(name string) (marker, bool) {
+	switch name {
+	case "none":
+		return marker{}, true
+	case "start":
+		return marker{step: vm.Sent, start: true}, true
+	}
+	for s := vm.Accepted; s <= vm.LatePart; s++ {
+		if s.String() == name {
+			return marker{step: s}, true
+		}
+	}
+	return marker{}, false
+}
+
+// read returns the lines of a table with two fields each.
+func read(name string) ([][2]string, error) {
+	f, err := data.Open("data/" + name)
+	if err != nil {
+		return nil, errors.Wrap(err, "open table")
+	}
+	defer func() { _ = f.Close() }()
+	var lines [][2]string
+	for s := bufio.NewScanner(f); s.Scan(); {
+		line, _, _ := strings.Cut(s.Text(), "#")
+		if strings.TrimSpace(line) == "" {
+			continue
+		}
+		var l [2]string
+		if n, err := fmt.Sscan(line, &l[0], &l[1]); err != nil {
+			return nil, errors.Wrapf(err, "%s: line %q has %d of 2 fields", name, line, n)
+		}
+		lines = append(lines, l)
+	}
+	return lines, nil
+}
--- /dev/null
+++ b/matrix/select.go
@@ -0,0 +1,104 @@
+package matrix
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// maxPairDelay bounds how much later than the first the second fault of a pair begins.
+const maxPairDelay = 500 * time.Millisecond
+
+// Settings describe one run.
+type Settings struct {
+	Seed     uint64
+	Pairs    int      // cells with two faults at once
+	Faults   []string // names of the faults to run; all if empty
+	Steps    []string // names of the steps to run; all if empty
+	Short    bool     // only the fixed part for CI
+	Parallel int      // tiers at a time
+	Child    []string // command that runs one VM in a process of its own
+}
+
+// cells returns the cells of a run, those of single faults first.
+func cells(s Settings) (single, pairs []Cell, err error) {
+	faults, err := Faults()
+	if err != nil {
+		return nil, nil, err
+	}
+	steps, err := Steps()
+	if err != nil {
+		return nil, nil, err
+	}
+	faults, err = choose(faults, s.Faults, func(f Fault) string { return f.Name })
+	if err != nil {
+		return nil, nil, err
+	}
+	steps, err = choose(steps, s.Steps, func(st Step) string { return st.Name })
+	if err != nil {
+		return nil, nil, err
+	}
+	if s.Short {
+		single, err = short(faults, steps)
+		return single, nil, err
+	}
+	for _, f := range faults {
+		for _, st := range steps {
+			single = append(single, Cell{Faults: []Fault{f}, Step: st})
+		}
+	}
+	return single, draw(s, faults, steps), nil
+}
+
+// short returns the cells of the fixed part whose fault and step are chosen.
+func short(faults []Fault, steps []Step) ([]Cell, error) {
+	lines, err := read("short.txt")
+	if err != nil {
+		return nil, err
+	}
+	var out []Cell
+	for _, l := range lines {
+		f := slices.IndexFunc(faults, func(f Fault) bool { return f.Name == l[0] })
+		s := slices.IndexFunc(steps, func(s Step) bool { return s.Name == l[1] })
+		if f >= 0 && s >= 0 {
+			out = append(out, Cell{Faults: []Fault{faults[f]}, Step: steps[s]})
+		}
+	}
+	return out, nil
+}
+
+// draw returns pairs of different faults from the seed.
+func draw(s Settings, faults []Fault, steps []Step) []Cell {
+	if len(faults) < 2 {
+		return nil
+	}
+	r := rand.New(rand.NewPCG(s.Seed, uint64(len(faults))))
+	var out []Cell
+	for range s.Pairs {
+		order := r.Perm(len(faults))
+		out = append(out, Cell{
+			Faults: []Fault{faults[order[0]], faults[order[1]]},
+			Step:   steps[r.IntN(len(steps))],
+			Delays: []time.Duration{time.Duration(r.Int64N(int64(maxPairDelay)))},
+		})
+	}
+	return out
+}
+
+// choose returns the items with the given names, or all for no names.
+func choose[T any](all []T, names []string, name func(T) string) ([]T, error) {
+	if len(names) == 0 {
+		return all, nil
+	}
+	var out []T
+	for _, n := range names {
+		i := slices.IndexFunc(all, func(t T) bool { return name(t) == n })
+		if i < 0 {
+			return nil, errors.Newf("%q is in no line of the table", n)
+		}
+		out = append(out, all[i])
+	}
+	return out, nil
+}
--- a/transport/feed/feed.go
+++ b/transport/feed/feed.go
@@ -29,9 +29,21 @@
 
 var _ transport.Platform = (*Client)(nil)
 
+// Option changes a setting of a client.
+type Option func(t *http.Transport)
+
+// WithDial sets how connections are opened; the default is a net.Dialer.
+func WithDial(dial transport.Dial) Option {
+	return func(t *http.Transport) { t.DialContext = dial }
+}
+
 // New returns a client of the platform at an address.
-func New(address netip.AddrPort) *Client {
-	return &Client{base: "http://" + address.String(), client: &http.Client{Transport: &http.Transport{}}}
+func New(address netip.AddrPort, opts ...Option) *Client {
+	t := &http.Transport{}
+	for _, opt := range opts {
+		opt(t)
+	}
+	return &Client{base: "http://" + address.String(), client: &http.Client{Transport: t}}
 }
 
 // Config returns the published configuration, or waits for another one.
--- a/transport/rest/cancel.go
+++ b/transport/rest/cancel.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/netip"
 	"net/url"
@@ -19,15 +20,20 @@
 
 // Controls cancels calls over at most one connection to each upstream.
 type Controls struct {
+	dial    transport.Dial
 	mu      sync.Mutex
 	clients map[netip.AddrPort]*http.Client
 }
 
 var _ transport.Canceller = (*Controls)(nil)
 
-// NewControls returns a canceller without connections.
-func NewControls() *Controls {
-	return &Controls{clients: map[netip.AddrPort]*http.Client{}}
+// NewControls returns a canceller without connections; of the options, only WithDial concerns it.
+func NewControls(opts ...Option) *Controls {
+	o := options{dial: new(net.Dialer).DialContext}
+	for _, opt := range opts {
+		opt(&o)
+	}
+	return &Controls{dial: o.dial, clients: map[netip.AddrPort]*http.Client{}}
 }
 
 // Cancel asks the upstream to stop a call.
@@ -50,7 +56,7 @@
 	defer c.mu.Unlock()
 	if c.clients[address] == nil {
 		c.clients[address] = &http.Client{Transport: &http.Transport{
-			MaxConnsPerHost: 1, MaxIdleConnsPerHost: 1, IdleConnTimeout: controlIdle,
+			DialContext: c.dial, MaxConnsPerHost: 1, MaxIdleConnsPerHost: 1, IdleConnTimeout: controlIdle,
 		}}
 	}
 	return c.clients[address]
--- a/transport/rest/options.go
+++ b/transport/rest/options.go
@@ -1,10 +1,15 @@
 package rest
 
-import "go.opentelemetry.io/contrib/instrumentation/net/http/otelhttp"
+import (
+	"go.opentelemetry.io/contrib/instrumentation/net/http/otelhttp"
+
+	"pistachioshore.dev/transport"
+)
 
 type options struct {
 	maxBody int64
 	trace   []otelhttp.Option
+	dial    transport.Dial
 }
 
 // Option changes a setting of a client.
@@ -19,3 +24,8 @@
 func WithTrace(opts ...otelhttp.Option) Option {
 	return func(o *options) { o.trace = append(o.trace, opts...) }
 }
+
+// WithDial sets how connections are opened; the default is a net.Dialer.
+func WithDial(dial transport.Dial) Option {
+	return func(o *options) { o.dial = dial }
+}
--- a/transport/rest/rest.go
+++ b/transport/rest/rest.go
@@ -23,15 +23,14 @@
 
 // Client opens HTTP connections to upstreams.
 type Client struct {
-	opts   options
-	dialer net.Dialer
+	opts options
 }
 
 var _ transport.Upstream = (*Client)(nil)
 
 // New returns a client.
 func New(opts ...Option) *Client {
-	o := options{maxBody: 1 << 20}
+	o := options{maxBody: 1 << 20, dial: new(net.Dialer).DialContext}
 	for _, opt := range opts {
 		opt(&o)
 	}
@@ -40,7 +39,7 @@
 
 // Connect opens one connection.
 func (c *Client) Connect(ctx context.Context, address netip.AddrPort) (transport.Conn, error) {
-	nc, err := c.dialer.DialContext(ctx, "tcp", address.String())
+	nc, err := c.opts.dial(ctx, "tcp", address.String())
 	if err != nil {
 		return nil, errors.Wrapf(err, "connect to %s", address)
 	}
--- a/transport/socket/options.go
+++ b/transport/socket/options.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"pistachioshore.dev/transport"
 )
 
 type options struct {
@@ -44,3 +46,8 @@
 func WithQueue(n int) Option {
 	return func(o *options) { o.queue = n }
 }
+
+// WithDial sets how connections are opened; the default is a net.Dialer.
+func WithDial(dial transport.Dial) Option {
+	return func(o *options) { o.client = &http.Client{Transport: &http.Transport{DialContext: dial}} }
+}
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"net"
 	"net/netip"
 	"time"
 
@@ -11,6 +12,9 @@
 	"pistachioshore.dev/wire"
 )
 
+// Dial opens one network connection, as net.Dialer.DialContext does.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
 // Upstream opens connections to upstreams.
 type Upstream interface {
 	// Connect opens one connection; an error means that nothing was sent.
