--- a/matrix/acts.go
+++ b/matrix/acts.go
@@ -46,7 +46,7 @@
 // Servers that single faults concern; each has another replica.
 const (
 	faultyServer  = "chiffrage-01-a"
-	leavingServer = "tournees-01-b"
+	leavingServer = "suivi-chantier-01-c"
 )
 
 // everywhere selects every upstream.
--- /dev/null
+++ b/matrix/matrix_test.go
@@ -0,0 +1,71 @@
+package matrix
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"reflect"
+	"testing"
+)
+
+// TestMain also serves as the process of a VM that a cell pauses.
+func TestMain(m *testing.M) {
+	if len(os.Args) == 2 && os.Args[1] == "vm" {
+		if err := RunVM(os.Stdin, os.Stdout); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// TestShort guards against a tier that breaks a property, or serves no more, under the faults of the
+// fixed part.
+func TestShort(t *testing.T) {
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := Run(context.Background(), Settings{Seed: 1, Short: true, Parallel: 8, Child: []string{self, "vm"}}, func(c CellReport) {
+		c.Print(testLog{t})
+		if c.Error != "" || len(c.Violations) > 0 {
+			t.Errorf("%s at %s: got %d violations and error %q, want none", c.Faults, c.Step, len(c.Violations), c.Error)
+		}
+	})
+	if err != nil || len(r.Cells) == 0 {
+		t.Fatalf("got %d cells and %v, want some", len(r.Cells), err)
+	}
+}
+
+// testLog writes lines to the log of a test.
+type testLog struct {
+	t *testing.T
+}
+
+func (l testLog) Write(b []byte) (int, error) {
+	l.t.Log(string(b))
+	return len(b), nil
+}
+
+// TestTables guards against a fault of the table without an act, a step without a marker, and pairs
+// that differ between two runs with one seed.
+func TestTables(t *testing.T) {
+	s := Settings{Seed: 7, Pairs: 20}
+	single, pairs, err := cells(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	all := acts()
+	for _, c := range single {
+		if _, ok := all[c.Faults[0].Name]; !ok {
+			t.Errorf("fault %s has no act", c.Faults[0].Name)
+		}
+	}
+	if _, again, _ := cells(s); !reflect.DeepEqual(pairs, again) || len(pairs) != s.Pairs {
+		t.Errorf("got %v then %v, want the same %d pairs", pairs, again, s.Pairs)
+	}
+	if _, _, err := cells(Settings{Faults: []string{"no-such-fault"}}); err == nil {
+		t.Error("got no error for an unknown fault")
+	}
+}
--- a/matrix/site.go
+++ b/matrix/site.go
@@ -34,7 +34,7 @@
 	tier     *tier.Tier
 	client   *tier.Client
 	trap     *trap
-	child    *child // nil unless one VM runs in a process of its own
+	child    *child       // nil unless one VM runs in a process of its own
 	requests atomic.Int64 // numbers the requests, so that each can have a fingerprint of its own
 	cells    int
 	current  uint64 // snapshot that new queries pin
--- a/matrix/watched.go
+++ b/matrix/watched.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strings"
 	"time"
 
@@ -15,7 +16,9 @@
 	startLook    = 2 * time.Millisecond
 	startTime    = 100 * time.Millisecond // for a call to become a start at the upstream
 	runSlower    = 20                     // makes a watched request run for 80 ms
-	answerSlower = 200                    // makes its parts miss its deadline
+	answerSlower = 200                    // makes its parts come after its caller has left
+	leaveTime    = 100 * time.Millisecond
+	stayTime     = 5 * time.Second
 )
 
 // reach sends a watched request and waits until it reaches the step; the tier has no other requests.
@@ -87,8 +90,21 @@
 		c.watched.Go(func() { c.client.OrderAt(context.Background(), v, caller(n), c.order(n)) })
 		return
 	}
-	q := wire.QueryRequest{Route: lookupRoute, Filter: &wire.Filter{}, Limit: 40}
-	c.watched.Go(func() { c.client.Query(context.Background(), v, caller(n), q) })
+	q := wire.QueryRequest{Route: lookupRoute, Filter: &wire.Filter{KeyTo: fmt.Sprintf("zz-watched-%d", n)}, Limit: 40}
+	c.watched.Go(func() {
+		ctx, leave := context.WithTimeout(context.Background(), c.patience())
+		defer leave()
+		c.client.Query(ctx, v, caller(n), q)
+	})
+}
+
+// patience returns how long the caller of the watched look-up stays; one that leaves makes the parts
+// of its request come too late.
+func (c *cell) patience() time.Duration {
+	if c.spec.Step.marker.step == vm.LatePart {
+		return leaveTime
+	}
+	return stayTime
 }
 
 // awaitStart waits until an upstream has started the watched sub-request.
