Choose the watched request by its cell and state what is proved

A tier that was replaced after a violation turned watched orders into look-ups, so that one mutation was reported in some runs only. The zone of a killed VM now restarts its upstreams while the VM comes back.

--- a/matrix/acts.go
+++ b/matrix/acts.go
@@ -206,12 +206,41 @@
 			return nil
 		},
 		end: func(c *cell) error {
-			_, err := c.tier.Add(c.ctx, c.killed.Zone, c.killed.Address)
+			v, err := c.tier.Add(c.ctx, c.killed.Zone, c.killed.Address)
+			if err == nil {
+				c.restartZone(v)
+			}
 			return err
 		},
 	}
 }
 
+// Restarts while a VM comes back: a cold upstream is where two owner VMs at a time would show.
+const (
+	zoneRestarts     = 4
+	zoneRestartEvery = 300 * time.Millisecond
+)
+
+// restartZone restarts the upstreams of a new VM's zone again and again, and asks this VM and another
+// at once as soon as they are back.
+func (c *cell) restartZone(v *tier.VM) {
+	for range zoneRestarts {
+		for _, u := range c.tier.Upstreams().Select(upstream.Selection{Zone: v.Zone}) {
+			u.Restart()
+		}
+		c.sleep(upstreamRestart)
+		for range zoneRestartEvery / lookupEvery {
+			c.sendLookupTo(v, c.number())
+			c.sendLookupTo(c.client.Pick(), c.number())
+			c.sleep(lookupEvery / 2)
+		}
+	}
+}
+
+func (c *cell) sendLookupTo(v *tier.VM, n int) {
+	c.work.Go(func() { c.client.Query(context.Background(), v, caller(n), c.lookup(n)) })
+}
+
 // replace starts a VM at a new address and stops the one at the step.
 func replace(c *cell) error {
 	old := c.target()
--- a/matrix/cell.go
+++ b/matrix/cell.go
@@ -47,7 +47,6 @@
 	for _, f := range spec.Faults {
 		c.acts = append(c.acts, all[f.Name])
 	}
-	s.cells++
 	return c
 }
 
--- a/matrix/matrix.go
+++ b/matrix/matrix.go
@@ -18,14 +18,16 @@
 
 // Fault is one line of the table of faults.
 type Fault struct {
-	Name  string
-	Lasts time.Duration
+	Name   string
+	Lasts  time.Duration
+	number int // line of the table
 }
 
 // Step is one line of the table of steps.
 type Step struct {
 	Name   string
 	marker marker
+	number int // line of the table
 }
 
 // marker is what shows that a request has reached a step.
@@ -41,6 +43,11 @@
 	Delays []time.Duration // of the faults after the first
 }
 
+// order reports whether the watched request is an order, as in every second cell; a cell always has the same.
+func (c Cell) order() bool {
+	return (c.Faults[0].number+c.Step.number)%2 == 1
+}
+
 // Name returns the names of the faults.
 func (c Cell) Name() string {
 	names := make([]string, 0, len(c.Faults))
@@ -62,7 +69,7 @@
 		if err != nil {
 			return nil, errors.Wrapf(err, "fault %s", l[0])
 		}
-		faults = append(faults, Fault{Name: l[0], Lasts: lasts})
+		faults = append(faults, Fault{Name: l[0], Lasts: lasts, number: len(faults)})
 	}
 	return faults, nil
 }
@@ -79,7 +86,7 @@
 		if !ok {
 			return nil, errors.Newf("step %s: unknown marker %q", l[0], l[1])
 		}
-		steps = append(steps, Step{Name: l[0], marker: m})
+		steps = append(steps, Step{Name: l[0], marker: m, number: len(steps)})
 	}
 	return steps, nil
 }
--- a/matrix/poison.go
+++ b/matrix/poison.go
@@ -41,7 +41,7 @@
 func (c *cell) sendPoison(n int, text string) {
 	c.sleep(time.Duration(n) * poisonEvery)
 	v := c.client.Pick()
-	if c.cells%2 == 0 {
+	if c.spec.order() {
 		req := wire.OrderRequest{Route: orderRoute, Operation: orderRoute, Key: text, Quantity: 1}
 		c.client.OrderAt(context.Background(), v, caller(c.number()), req)
 		return
--- a/matrix/site.go
+++ b/matrix/site.go
@@ -23,7 +23,9 @@
 	firm       = "armor"
 	vmsPerZone = 2
 	siteTime   = 15 * time.Second
-	closeTime  = 15 * time.Second
+
+	upstreamRestart = 200 * time.Millisecond // connections are refused for so long
+	closeTime       = 15 * time.Second
 )
 
 // kept lists the servers of each service that a cell has.
@@ -36,8 +38,7 @@
 	trap     *trap
 	child    *child       // nil unless one VM runs in a process of its own
 	requests atomic.Int64 // numbers the requests, so that each can have a fingerprint of its own
-	cells    int
-	current  uint64 // snapshot that new queries pin
+	current  uint64       // snapshot that new queries pin
 }
 
 // newSite starts a tier; with a command, its first VM runs in a process of its own.
@@ -49,7 +50,7 @@
 	s.tier, err = tier.Start(ctx, tier.Settings{
 		Firm: firm, VMsPerZone: vmsPerZone, LogOutput: io.Discard,
 		Upstreams: upstream.Settings{
-			Queue: 8, ServiceTime: 4 * time.Millisecond, Spread: 0.3, Seed: seed, RestartTime: 200 * time.Millisecond,
+			Queue: 8, ServiceTime: 4 * time.Millisecond, Spread: 0.3, Seed: seed, RestartTime: upstreamRestart,
 		},
 		Config:  []sample.Option{sample.WithSnapshots(1)},
 		Adjust:  shrink,
--- a/matrix/watched.go
+++ b/matrix/watched.go
@@ -86,7 +86,7 @@
 		v = c.vmAt(c.child.place.Address)
 	}
 	n := c.number()
-	if c.cells%2 == 0 && c.spec.Step.marker.step != vm.LatePart && try%2 == 0 {
+	if c.spec.order() && c.spec.Step.marker.step != vm.LatePart && try%2 == 0 {
 		c.watched.Go(func() { c.client.OrderAt(context.Background(), v, caller(n), c.order(n)) })
 		return
 	}
