--- a/demo/tier/tier.go
+++ b/demo/tier/tier.go
@@ -136,6 +136,18 @@
 	return at, cfg.Revision, err
 }
 
+// Sight records which configuration each running VM shows.
+func (t *Tier) Sight() {
+	for _, v := range t.VMs() {
+		if !v.Running() {
+			continue
+		}
+		sent := time.Now()
+		revision := v.Revision()
+		t.recorder.Sighting(audit.Sighting{VM: v.Address, Sent: sent, Returned: time.Now(), Revision: revision})
+	}
+}
+
 // Violations compares what was recorded with what the upstreams counted. The last configuration has
 // to list every snapshot that an answer may name.
 func (t *Tier) Violations() ([]audit.Violation, audit.History) {
--- a/demo/workload.go
+++ b/demo/workload.go
@@ -7,7 +7,6 @@
 	"sync"
 	"time"
 
-	"pistachioshore.dev/audit"
 	"pistachioshore.dev/catalog"
 	"pistachioshore.dev/demo/tier"
 	"pistachioshore.dev/wire"
@@ -64,7 +63,7 @@
 			req := w.order(orders, n)
 			under.Go(func() { w.client.Order(call, w.caller(n), req) })
 		case <-status.C:
-			w.sight()
+			w.tier.Sight()
 		}
 	}
 }
@@ -95,15 +94,3 @@
 		Route: routes[0].Name, Operation: routes[0].Name, Key: fmt.Sprintf("%s-%d", w.firm, n), Quantity: 1,
 	}
 }
-
-// sight records which configuration each VM shows.
-func (w *workload) sight() {
-	for _, v := range w.tier.VMs() {
-		if !v.Running() {
-			continue
-		}
-		sent := time.Now()
-		revision := v.Revision()
-		w.tier.Recorder().Sighting(audit.Sighting{VM: v.Address, Sent: sent, Returned: time.Now(), Revision: revision})
-	}
-}
--- a/load/run.go
+++ b/load/run.go
@@ -144,13 +144,7 @@
 			return
 		case <-tick.C:
 		}
-		for _, v := range r.tier.VMs() {
-			if v.Running() {
-				sent := time.Now()
-				revision := v.Process().VM().Status().Revision
-				r.tier.Recorder().Sighting(audit.Sighting{VM: v.Address, Sent: sent, Returned: time.Now(), Revision: revision})
-			}
-		}
+		r.tier.Sight()
 	}
 }
 
