--- a/entry/vm/canary.go
+++ b/entry/vm/canary.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,6 +20,8 @@
 	coordinatorShare = 4
 
 	coordinators = 2 // VMs asked in turn before this VM decides alone
+
+	crashReceivers = 3 // VMs told of a suspected crash
 )
 
 // canaryReply is a coordinator's answer.
@@ -121,15 +124,34 @@
 
 // reportRun tells the coordinator of a fingerprint how a run of it ended.
 func (vm *VM) reportRun(fingerprint uint64, r quarantine.Report, upstreamName string) {
-	order := vm.fleet.Rank(fingerprint)
-	if len(order) == 0 || order[0] == vm.settings.Address {
+	to := vm.fleet.Rank(fingerprint)
+	to = to[:min(len(to), receivers(r))]
+	if r == quarantine.Succeeded && !slices.Contains(to, vm.settings.Address) {
+		vm.quarantine.Learn(vm.now(), fingerprint, quarantine.Answer{Verdict: quarantine.Good, Until: vm.now().Add(quarantine.Defaults().Good)})
+	}
+	if len(to) == 0 {
 		vm.takeReport(fingerprint, r, upstreamName)
-		return
 	}
-	if r == quarantine.Succeeded {
-		vm.quarantine.Learn(vm.now(), fingerprint, quarantine.Answer{Verdict: quarantine.Good, Until: vm.now().Add(quarantine.Defaults().Good)})
+	for _, c := range to {
+		if c == vm.settings.Address {
+			vm.takeReport(fingerprint, r, upstreamName)
+			continue
+		}
+		vm.sendReport(c, fingerprint, r, upstreamName)
 	}
-	vm.sendAgain(order[0], &wire.Envelope{
+}
+
+// receivers returns how many VMs in the order of a fingerprint are told of a run. Crashes are also
+// told to the next coordinators, so that the count outlives the loss of the first.
+func receivers(r quarantine.Report) int {
+	if r == quarantine.Crashed {
+		return crashReceivers
+	}
+	return 1
+}
+
+func (vm *VM) sendReport(to netip.AddrPort, fingerprint uint64, r quarantine.Report, upstreamName string) {
+	vm.sendAgain(to, &wire.Envelope{
 		Kind: codec.KindCanaryReport,
 		CanaryReport: &wire.CanaryReport{
 			Fingerprint: fingerprint, Outcome: r.String(), Upstream: upstreamName, Until: vm.now(),
@@ -137,13 +159,14 @@
 	}, resends)
 }
 
-// takeReport updates the coordinator's state and tells all VMs of a refusal.
+// takeReport updates the state of a coordinator or of its successor, and tells all VMs of a refusal.
 func (vm *VM) takeReport(fingerprint uint64, r quarantine.Report, upstreamName string) {
 	a := vm.quarantine.Report(vm.now(), fingerprint, r, upstreamName)
-	if r != quarantine.Crashed {
-		return
+	order := vm.fleet.Rank(fingerprint)
+	first := len(order) == 0 || order[0] == vm.settings.Address
+	if r == quarantine.Crashed && (first || a.Verdict == quarantine.Refused) {
+		vm.broadcast(verdictMessage(0, fingerprint, a))
 	}
-	vm.broadcast(verdictMessage(0, fingerprint, a))
 }
 
 func verdictMessage(id, fingerprint uint64, a quarantine.Answer) *wire.Envelope {
