--- a/demo/acts.go
+++ b/demo/acts.go
@@ -8,6 +8,7 @@
 
 	"pistachioshore.dev/audit"
 	"pistachioshore.dev/demo/tier"
+	"pistachioshore.dev/pool"
 	"pistachioshore.dev/standin/sample"
 	"pistachioshore.dev/standin/upstream"
 )
@@ -48,7 +49,7 @@
 			return stopped.Stop(context.WithoutCancel(ctx))
 		}},
 	} {
-		if !sleepUntil(ctx, started.Add(a.at)) {
+		if !pool.WaitUntil(ctx, started.Add(a.at)) {
 			return errors.New("the demo ended before its acts")
 		}
 		if err := a.do(ctx); err != nil {
@@ -68,14 +69,3 @@
 	}
 	return failures
 }
-
-func sleepUntil(ctx context.Context, at time.Time) bool {
-	timer := time.NewTimer(time.Until(at))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/demo/tier/client.go
+++ b/demo/tier/client.go
@@ -13,6 +13,7 @@
 
 	"pistachioshore.dev/audit"
 	"pistachioshore.dev/codec"
+	"pistachioshore.dev/pool"
 	"pistachioshore.dev/result"
 	"pistachioshore.dev/wire"
 )
@@ -124,7 +125,7 @@
 	req.Permit = *permit
 	var last audit.Order
 	for n := range orderTries {
-		if n > 0 && !sleep(ctx, orderRetry) {
+		if n > 0 && !pool.Wait(ctx, orderRetry) {
 			break
 		}
 		last = c.tryOrder(ctx, next(), caller, req)
@@ -182,15 +183,3 @@
 func notSent(err error) bool {
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
-
-// sleep waits for d; it reports whether ctx still lasts.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/entry/vm/canary.go
+++ b/entry/vm/canary.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"pistachioshore.dev/codec"
+	"pistachioshore.dev/pool"
 	"pistachioshore.dev/quarantine"
 	"pistachioshore.dev/result"
 	"pistachioshore.dev/wire"
@@ -57,14 +58,7 @@
 		return false
 	}
 	const least = time.Millisecond // keeps a verdict that is due from becoming a busy loop
-	t := time.NewTimer(max(until.Sub(now), least))
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return pool.Wait(ctx, max(until.Sub(now), least))
 }
 
 // askCoordinator asks the coordinator VM, then its successor; without either this VM decides alone.
--- a/entry/vm/config.go
+++ b/entry/vm/config.go
@@ -9,6 +9,7 @@
 	"pistachioshore.dev/catalog"
 	"pistachioshore.dev/codec"
 	"pistachioshore.dev/fleet"
+	"pistachioshore.dev/pool"
 	"pistachioshore.dev/wire"
 )
 
@@ -36,7 +37,7 @@
 		published, err := vm.to.Platform.Config(vm.ctx, tag, wait)
 		if err != nil {
 			vm.observe.Counters.PlatformReadFailed()
-			vm.wait(retryDelay)
+			pool.Wait(vm.ctx, retryDelay)
 			continue
 		}
 		tag = published.Tag
@@ -62,7 +63,7 @@
 func (vm *VM) waitForWatch(d time.Duration) {
 	until := vm.now().Add(d)
 	for vm.now().Before(until) && !vm.watches() {
-		if !vm.wait(retryDelay) {
+		if !pool.Wait(vm.ctx, retryDelay) {
 			return
 		}
 	}
@@ -77,7 +78,7 @@
 		} else {
 			vm.takeList(list)
 		}
-		if !vm.wait(vmListTime) {
+		if !pool.Wait(vm.ctx, vmListTime) {
 			return
 		}
 	}
--- a/entry/vm/drain.go
+++ b/entry/vm/drain.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/go-kit/log/level"
 
+	"pistachioshore.dev/pool"
 	"pistachioshore.dev/shutdown"
 )
 
@@ -18,7 +18,7 @@
 		if st.Phase >= shutdown.Closing {
 			return
 		}
-		if !waitUntil(ctx, st.LookAt) {
+		if !pool.WaitUntil(ctx, st.LookAt) {
 			return
 		}
 		now := vm.now()
@@ -49,14 +49,3 @@
 func (vm *VM) accepts() bool {
 	return vm.stopping.Phase() < shutdown.HandingOver
 }
-
-func waitUntil(ctx context.Context, at time.Time) bool {
-	t := time.NewTimer(time.Until(at))
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/entry/vm/vm.go
+++ b/entry/vm/vm.go
@@ -184,15 +184,3 @@
 func newRand() *rand.Rand {
 	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 }
-
-// wait waits for d or until the VM stops; it reports whether the VM goes on.
-func (vm *VM) wait(d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-vm.ctx.Done():
-		return false
-	}
-}
--- /dev/null
+++ b/gather/answer.go
@@ -0,0 +1,102 @@
+package gather
+
+import (
+	"time"
+
+	"pistachioshore.dev/record"
+	"pistachioshore.dev/result"
+)
+
+// settle decides whether the answer is ready and otherwise when to look again.
+func (s *state) settle(now time.Time, st *Step) {
+	n := len(s.shards)
+	if s.reached.IsZero() && n > 0 && float64(s.covered) >= s.plan.MinimumCoverage*float64(n) && s.covered > 0 {
+		s.reached = now
+	}
+	end := s.plan.Deadline
+	if !s.reached.IsZero() {
+		end = earlier(end, s.reached.Add(s.plan.StragglerWait))
+	}
+	if s.open == 0 || !now.Before(end) {
+		s.finish(now, st)
+		return
+	}
+	st.WakeAt = earlier(end, s.nextHedge(now, end))
+}
+
+func (s *state) finish(now time.Time, st *Step) {
+	s.done = true
+	st.Done = true
+	st.Restart = s.worthRestart(now)
+	for i := range s.shards {
+		sh := &s.shards[i]
+		for _, a := range sh.attempts {
+			if a.pending && sh.part == nil {
+				st.Cancel = append(st.Cancel, a.Attempt)
+			}
+		}
+		code := result.Late
+		if len(sh.attempts) == 0 {
+			code = result.DeadlineExpired
+		}
+		s.fail(i, code)
+	}
+}
+
+// worthRestart reports whether shards lost to a gone snapshot, and nothing else, keep the answer
+// below its minimum while at least as much time is left as has to be kept for a second try.
+func (s *state) worthRestart(now time.Time) bool {
+	n := len(s.shards)
+	gone := 0
+	for i := range s.shards {
+		if s.shards[i].failed == result.SnapshotGone {
+			gone++
+		}
+	}
+	below := float64(s.covered) < s.plan.MinimumCoverage*float64(n)
+	enough := float64(s.covered+gone) >= s.plan.MinimumCoverage*float64(n)
+	return gone > 0 && below && enough && s.timeLeft(now)
+}
+
+func (s *state) timeLeft(now time.Time) bool {
+	var first time.Time
+	for i := range s.shards {
+		for _, a := range s.shards[i].attempts {
+			if first.IsZero() || a.sent.Before(first) {
+				first = a.sent
+			}
+		}
+	}
+	return s.plan.Deadline.Sub(now) >= s.plan.Deadline.Sub(first)/2
+}
+
+func (s *state) answer() Answer {
+	a := Answer{Code: result.Complete, Snapshot: s.plan.Snapshot, Revision: s.plan.Revision}
+	var parts [][]record.Record
+	for i := range s.shards {
+		sh := &s.shards[i]
+		if sh.part == nil {
+			code := sh.failed
+			if code == 0 {
+				code = result.Late
+			}
+			a.Missing = append(a.Missing, Missing{Shard: s.plan.Shards[i].Shard, Code: code})
+			continue
+		}
+		a.Covered = append(a.Covered, s.plan.Shards[i].Shard.Name)
+		a.Matched += sh.part.Matched
+		parts = append(parts, sh.part.Records)
+	}
+	if len(a.Missing) > 0 {
+		a.Code = result.Partial
+	}
+	a.Records = record.Merge(parts, s.plan.Limit)
+	return a
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
--- /dev/null
+++ b/gather/attempts.go
@@ -0,0 +1,133 @@
+package gather
+
+import (
+	"slices"
+	"time"
+)
+
+func (s *state) start(now time.Time) Step {
+	var st Step
+	for i, p := range s.plan.Shards {
+		if len(p.Replicas) == 0 {
+			s.fail(i, p.Refused)
+		}
+	}
+	if s.plan.Canary {
+		s.startCanary(now, &st)
+	} else {
+		s.sendOpen(now, &st)
+	}
+	s.settle(now, &st)
+	return st
+}
+
+// startCanary runs the first open shard that has the fewest attempts alone.
+func (s *state) startCanary(now time.Time, st *Step) {
+	s.canary = -1
+	for i := range s.shards {
+		if s.shards[i].ended() {
+			continue
+		}
+		if s.canary < 0 || len(s.shards[i].attempts) < len(s.shards[s.canary].attempts) {
+			s.canary = i
+		}
+	}
+	if s.canary >= 0 {
+		s.send(now, s.canary, false, st)
+	}
+}
+
+// sendOpen sends an attempt for each shard that has neither an outcome nor a pending attempt.
+func (s *state) sendOpen(now time.Time, st *Step) {
+	n := 0
+	for i := range s.shards {
+		if !s.shards[i].ended() && !s.shards[i].pending() {
+			s.send(now, i, false, st)
+			n++
+		}
+	}
+	s.budget.Earn(n)
+}
+
+func (s *state) send(now time.Time, i int, hedge bool, st *Step) {
+	sh := &s.shards[i]
+	a := Attempt{
+		Shard:  i,
+		Number: len(sh.attempts) + 1,
+		Server: s.choose.Choose(now, s.rand, s.candidates(i)),
+		Hedge:  hedge,
+	}
+	sh.attempts = append(sh.attempts, attempt{Attempt: a, sent: now, pending: true})
+	st.Send = append(st.Send, a)
+}
+
+// candidates returns the replicas that the shard has not tried yet, or all of them.
+func (s *state) candidates(i int) []string {
+	all := s.plan.Shards[i].Replicas
+	fresh := slices.DeleteFunc(slices.Clone(all), func(name string) bool {
+		return slices.ContainsFunc(s.shards[i].attempts, func(a attempt) bool { return a.Server == name })
+	})
+	if len(fresh) > 0 {
+		return fresh
+	}
+	return all
+}
+
+// hedge sends a second attempt for each shard whose only pending attempt is late. A second canary
+// request needs the coordinator's leave, because it is a second upstream at risk.
+func (s *state) hedge(now time.Time, st *Step) {
+	for i := range s.shards {
+		sh := &s.shards[i]
+		late, ok := s.lateAttempt(now, i)
+		if !ok || len(sh.attempts) >= MaxAttempts || len(s.plan.Shards[i].Replicas) < 2 {
+			continue
+		}
+		if s.choose.Queued(late.Server) || !s.budget.AllowHedge() {
+			continue
+		}
+		if s.canary == i {
+			s.asking = true
+			st.AskAgain = true
+			continue
+		}
+		s.send(now, i, true, st)
+	}
+}
+
+// lateAttempt returns the shard's only pending attempt if it is beyond the hedge delay and no hedge was sent.
+func (s *state) lateAttempt(now time.Time, i int) (attempt, bool) {
+	sh := &s.shards[i]
+	if sh.ended() || s.asking || (s.canary >= 0 && s.canary != i) {
+		return attempt{}, false
+	}
+	var pending []attempt
+	for _, a := range sh.attempts {
+		if a.Hedge {
+			return attempt{}, false
+		}
+		if a.pending {
+			pending = append(pending, a)
+		}
+	}
+	if len(pending) != 1 {
+		return attempt{}, false
+	}
+	delay := s.choose.HedgeDelay(s.plan.Shards[i].Shard.Group)
+	return pending[0], !now.Before(pending[0].sent.Add(delay))
+}
+
+// nextHedge returns the earliest time at which a pending attempt becomes late.
+func (s *state) nextHedge(now, end time.Time) time.Time {
+	next := end
+	for i := range s.shards {
+		sh := &s.shards[i]
+		if sh.ended() || len(sh.attempts) != 1 {
+			continue
+		}
+		due := sh.attempts[0].sent.Add(s.choose.HedgeDelay(s.plan.Shards[i].Shard.Group))
+		if due.After(now) {
+			next = earlier(next, due)
+		}
+	}
+	return next
+}
--- /dev/null
+++ b/gather/outcome.go
@@ -0,0 +1,126 @@
+package gather
+
+import (
+	"time"
+
+	"pistachioshore.dev/result"
+)
+
+func (s *state) take(now time.Time, p Part) Step {
+	var st Step
+	if s.done || p.Shard < 0 || p.Shard >= len(s.shards) {
+		return st
+	}
+	sh := &s.shards[p.Shard]
+	if p.Number < 1 || p.Number > len(sh.attempts) || !sh.attempts[p.Number-1].pending {
+		return st
+	}
+	sh.attempts[p.Number-1].pending = false
+	if p.Code.Effect() == result.MayHaveRun {
+		sh.mayRun = p.Code
+	}
+	if p.Code == result.Complete && p.Snapshot != s.plan.Snapshot {
+		s.stale++
+		p.Code = result.SnapshotGone
+	}
+	switch {
+	case sh.ended():
+		return st
+	case p.Code == result.Complete:
+		s.cover(now, p, &st)
+	default:
+		s.retry(now, p, &st)
+	}
+	s.settle(now, &st)
+	return st
+}
+
+func (s *state) cover(now time.Time, p Part, st *Step) {
+	sh := &s.shards[p.Shard]
+	sh.part = &p
+	s.open--
+	s.covered++
+	for _, a := range sh.attempts {
+		if a.pending {
+			st.Cancel = append(st.Cancel, a.Attempt)
+		}
+	}
+	if s.canary == p.Shard {
+		s.canary = -1
+		st.CanaryOK = true
+		s.sendOpen(now, st)
+	}
+}
+
+func (s *state) retry(now time.Time, p Part, st *Step) {
+	sh := &s.shards[p.Shard]
+	if s.mayRetry(now, p) {
+		s.send(now, p.Shard, false, st)
+		return
+	}
+	if sh.pending() {
+		return
+	}
+	if s.canary == p.Shard {
+		s.canaryFailed(now, p, st)
+		return
+	}
+	s.fail(p.Shard, p.Code)
+}
+
+// canaryFailed moves a canary request that was not run to another shard. After one that may have
+// run, the query waits for leave to go on.
+func (s *state) canaryFailed(now time.Time, p Part, st *Step) {
+	switch {
+	case p.Code == result.Quarantined:
+		s.failAll(p.Code)
+	case p.Code.Effect() == result.NotRun:
+		s.fail(p.Shard, p.Code)
+		s.startCanary(now, st)
+	default:
+		s.canary = -1
+		s.asking = true
+		st.AskAgain = true
+	}
+}
+
+// mayRetry reports whether another attempt is worth its cost. A quarantined fingerprint is
+// refused everywhere, and a canary request that may have harmed an upstream is never repeated here.
+func (s *state) mayRetry(now time.Time, p Part) bool {
+	if p.Code == result.Quarantined || len(s.shards[p.Shard].attempts) >= MaxAttempts {
+		return false
+	}
+	if s.canary == p.Shard && p.Code.Effect() != result.NotRun {
+		return false
+	}
+	typical := s.choose.Typical(s.plan.Shards[p.Shard].Shard.Group)
+	if now.Add(typical).After(s.plan.Deadline) {
+		return false
+	}
+	// These refusals cost no upstream work, so they are outside the retry budget.
+	switch p.Code {
+	case result.OwnerMoved, result.ZoneOut, result.UpstreamLeaving:
+		return true
+	}
+	return s.budget.AllowRetry()
+}
+
+// fail gives a shard up. Its reason says "not run" only if that holds for every attempt.
+func (s *state) fail(i int, code result.Code) {
+	sh := &s.shards[i]
+	if sh.ended() {
+		return
+	}
+	if sh.mayRun != 0 && code.Effect() == result.NotRun {
+		code = sh.mayRun
+	}
+	sh.failed = code
+	s.open--
+}
+
+// failAll ends every shard that is still open.
+func (s *state) failAll(code result.Code) {
+	for i := range s.shards {
+		s.fail(i, code)
+	}
+}
--- a/load/events.go
+++ b/load/events.go
@@ -8,6 +8,7 @@
 
 	"pistachioshore.dev/audit"
 	"pistachioshore.dev/load/scenario"
+	"pistachioshore.dev/pool"
 	"pistachioshore.dev/standin/platform"
 	"pistachioshore.dev/standin/sample"
 	"pistachioshore.dev/standin/upstream"
@@ -22,7 +23,7 @@
 		}
 	}()
 	for _, e := range r.settings.Scenario.Events {
-		if !sleepUntil(ctx, r.started.Add(e.At.Of())) {
+		if !pool.WaitUntil(ctx, r.started.Add(e.At.Of())) {
 			return nil
 		}
 		if err := r.carryOut(e, drained); err != nil {
--- a/load/run.go
+++ b/load/run.go
@@ -14,6 +14,7 @@
 	"pistachioshore.dev/demo/tier"
 	"pistachioshore.dev/load/arm"
 	"pistachioshore.dev/load/scenario"
+	"pistachioshore.dev/pool"
 	"pistachioshore.dev/standin/sample"
 	"pistachioshore.dev/standin/upstream"
 	"pistachioshore.dev/wire"
@@ -97,7 +98,7 @@
 	defer under.Wait()
 	for _, c := range r.calls {
 		at := r.started.Add(c.At)
-		if !sleepUntil(ctx, at) {
+		if !pool.WaitUntil(ctx, at) {
 			return
 		}
 		r.intended[c.Number] = at
@@ -147,14 +148,3 @@
 		r.tier.Sight()
 	}
 }
-
-func sleepUntil(ctx context.Context, at time.Time) bool {
-	t := time.NewTimer(time.Until(at))
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- /dev/null
+++ b/pool/wait.go
@@ -0,0 +1,23 @@
+package pool
+
+import (
+	"context"
+	"time"
+)
+
+// Wait waits for d; it reports false if ctx ends first.
+func Wait(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// WaitUntil waits until at; it reports false if ctx ends first.
+func WaitUntil(ctx context.Context, at time.Time) bool {
+	return Wait(ctx, time.Until(at))
+}
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"pistachioshore.dev/codec"
+	"pistachioshore.dev/pool"
 	"pistachioshore.dev/standin"
 	"pistachioshore.dev/table"
 	"pistachioshore.dev/wire"
@@ -76,7 +77,7 @@
 			s.reads++
 			delay = s.faults.Delay
 		})
-		pause(r.Context(), delay)
+		pool.Wait(r.Context(), delay)
 		if p.reachable(w, r) {
 			answer(w, r)
 		}
@@ -96,18 +97,6 @@
 	return true
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	if d == 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // getConfig answers with the visible version, or waits until it differs from the one that the reader has.
 func (p *Platform) getConfig(w http.ResponseWriter, r *http.Request) {
 	after := r.URL.Query().Get("after")
--- a/transport/socket/link.go
+++ b/transport/socket/link.go
@@ -9,6 +9,7 @@
 	"github.com/coder/websocket"
 
 	"pistachioshore.dev/codec"
+	"pistachioshore.dev/pool"
 	"pistachioshore.dev/wire"
 )
 
@@ -56,7 +57,7 @@
 		c, err := l.hub.dial(l.ctx, l.vm)
 		if err != nil {
 			l.receiver.Refused(l.vm)
-			waitUntil(l.ctx, l.hub.opts.redial)
+			pool.Wait(l.ctx, l.hub.opts.redial)
 			continue
 		}
 		l.serve(c)
--- a/transport/socket/socket.go
+++ b/transport/socket/socket.go
@@ -226,13 +226,3 @@
 	defer cancel()
 	return c.Write(ctx, websocket.MessageBinary, frame)
 }
-
-// waitUntil waits for d or for the end of ctx.
-func waitUntil(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
