--- a/entry/vm/order.go
+++ b/entry/vm/order.go
@@ -16,6 +16,7 @@
 	"pistachioshore.dev/permit"
 	"pistachioshore.dev/quarantine"
 	"pistachioshore.dev/result"
+	"pistachioshore.dev/shutdown"
 	"pistachioshore.dev/upstream"
 	"pistachioshore.dev/wire"
 )
@@ -38,6 +39,9 @@
 	if _, err := vm.accepting(now); err != nil {
 		return permit.Permit{}, vm.refused(err)
 	}
+	if vm.stopping.Phase() != shutdown.Serving {
+		return permit.Permit{}, vm.refused(result.New(result.Stopping, "the VM issues no more permits"))
+	}
 	p, err := vm.permits.Issue(now, rand.Text())
 	if err != nil {
 		return permit.Permit{}, vm.refused(err)
