--- a/entry/vm/order.go
+++ b/entry/vm/order.go
@@ -206,7 +206,9 @@
 }
 
 // runOnce tries replicas in turn for as long as each says that it has not run the order.
-func (vm *VM) runOnce(ctx context.Context, cfg *catalog.Config, route *catalog.Route, o entry.Order, fingerprint uint64, deadline time.Time) entry.Outcome {
+func (vm *VM) runOnce(
+	ctx context.Context, cfg *catalog.Config, route *catalog.Route, o entry.Order, fingerprint uint64, deadline time.Time,
+) entry.Outcome {
 	canary, err := vm.mayRun(ctx, fingerprint, deadline)
 	if err != nil {
 		return entry.Outcome{Code: codeOf(err)}
@@ -222,8 +224,28 @@
 		return entry.Outcome{Code: plan.Refused}
 	}
 	vm.reached(SnapshotPinned, o.ID)
-	job := orderJob{order: o, class: route.Class, fingerprint: fingerprint, deadline: deadline.Add(-orderMargin), shard: plan.Shard.Name, group: plan.Shard.Group, snapshot: cfg.Current, id: vm.nextID.Add(1), trace: traceOf(ctx)}
-	replicas := slices.Clone(plan.Replicas)
+	last := vm.tryReplicas(slices.Clone(plan.Replicas), orderJob{
+		order:       o,
+		class:       route.Class,
+		fingerprint: fingerprint,
+		deadline:    deadline.Add(-orderMargin),
+		shard:       plan.Shard.Name,
+		group:       plan.Shard.Group,
+		snapshot:    cfg.Current,
+		id:          vm.nextID.Add(1),
+		trace:       traceOf(ctx),
+	}, deadline)
+	switch last.Code {
+	case result.Executed:
+		c.succeeded()
+	case result.ConnectionLost:
+		c.lost()
+	}
+	return last
+}
+
+// tryReplicas makes one attempt at each replica until one may have run the order.
+func (vm *VM) tryReplicas(replicas []string, job orderJob, deadline time.Time) entry.Outcome {
 	r := newRand()
 	last := entry.Outcome{Code: result.DeadlineExpired}
 	for n := 1; n <= maxOrderAttempts && len(replicas) > 0 && vm.now().Before(job.deadline); n++ {
@@ -234,12 +256,6 @@
 			break
 		}
 	}
-	switch last.Code {
-	case result.Executed:
-		c.succeeded()
-	case result.ConnectionLost:
-		c.lost()
-	}
 	return last
 }
 
