Try another replica after a refusal that ran nothing, outside the retry budget

Cause: with a zone without entry VMs, every third first attempt was refused as owner-unreachable, and the five retries that a budget starts with were used up by one query. Change: owner-unreachable and unreachable count like owner-moved, and all of these are outside the budget only for a replica that was not tried yet.

--- a/gather/attempts.go
+++ b/gather/attempts.go
@@ -63,14 +63,17 @@
 
 // candidates returns the replicas that the shard has not tried yet, or all of them.
 func (s *state) candidates(i int) []string {
-	all := s.plan.Shards[i].Replicas
-	fresh := slices.DeleteFunc(slices.Clone(all), func(name string) bool {
-		return slices.ContainsFunc(s.shards[i].attempts, func(a attempt) bool { return a.Server == name })
-	})
-	if len(fresh) > 0 {
+	if fresh := s.untried(i); len(fresh) > 0 {
 		return fresh
 	}
-	return all
+	return s.plan.Shards[i].Replicas
+}
+
+// untried returns the replicas that no attempt of the shard has gone to.
+func (s *state) untried(i int) []string {
+	return slices.DeleteFunc(slices.Clone(s.plan.Shards[i].Replicas), func(name string) bool {
+		return slices.ContainsFunc(s.shards[i].attempts, func(a attempt) bool { return a.Server == name })
+	})
 }
 
 // hedge sends a second attempt for each shard whose only pending attempt is late. A second canary
--- a/gather/outcome.go
+++ b/gather/outcome.go
@@ -97,10 +97,13 @@
 	if now.Add(typical).After(s.plan.Deadline) {
 		return false
 	}
-	// These refusals cost no upstream work, so they are outside the retry budget.
+	// These refusals cost no upstream work, so an untried replica is outside the retry budget: the
+	// budget would be used up by the first query after the loss of a zone.
 	switch p.Code {
-	case result.OwnerMoved, result.ZoneOut, result.UpstreamLeaving:
-		return true
+	case result.OwnerMoved, result.OwnerUnreachable, result.Unreachable, result.ZoneOut, result.UpstreamLeaving:
+		if len(s.untried(p.Shard)) > 0 {
+			return true
+		}
 	}
 	return s.budget.AllowRetry()
 }
