Use the budget module for deadlines, retries and Retry-After

The entry VM had a copy of budget.ReturnPath and of the cap on a caller's deadline, gather one of budget.Enough, and the HTTP front end one of budget.RetryAfter; the module's functions serve now. An unused accessor of the front end's router is gone.

--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -5,6 +5,7 @@
 	"context"
 	crand "crypto/rand"
 	"io"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -12,6 +13,7 @@
 
 	"github.com/gin-gonic/gin"
 
+	"pistachioshore.dev/budget"
 	"pistachioshore.dev/codec"
 	"pistachioshore.dev/entry"
 	"pistachioshore.dev/gather"
@@ -42,11 +44,6 @@
 	return f
 }
 
-// Engine returns the router, to which further routes can be added before it serves.
-func (f *Front) Engine() *gin.Engine {
-	return f.engine
-}
-
 // ServeHTTP answers one request.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	f.engine.ServeHTTP(w, r)
@@ -191,12 +188,17 @@
 	return out
 }
 
+// retryAfter returns the whole seconds, 1 or 2, after which a refused caller should try again.
+func retryAfter() int {
+	r := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	return int(math.Ceil(budget.RetryAfter(r, time.Second).Seconds()))
+}
+
 // refuse writes a coded refusal.
 func refuse(c *gin.Context, id string, err error) {
 	fault := codec.Fault(err)
 	if fault.Code == result.Overloaded {
-		// Spread, so that refused callers do not come back together.
-		c.Header("Retry-After", strconv.Itoa(1+rand.IntN(2)))
+		c.Header("Retry-After", strconv.Itoa(retryAfter()))
 	}
 	c.JSON(status(fault.Code), codec.ToWireRefusal(id, fault))
 }
--- a/entry/vm/active.go
+++ b/entry/vm/active.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"pistachioshore.dev/balancer"
+	"pistachioshore.dev/budget"
 	"pistachioshore.dev/catalog"
 	"pistachioshore.dev/entry"
 	"pistachioshore.dev/gather"
@@ -136,7 +137,7 @@
 		hedge:    at.Hedge,
 		job: upstream.Job[work]{
 			Key:   upstream.Key{Origin: a.vm.settings.Address, ID: a.ids[at.Shard], Attempt: at.Number},
-			Class: a.route.class, Deadline: a.plan.Deadline.Add(-hopMargin), Fingerprint: a.fingerprint, Idempotent: true,
+			Class: a.route.class, Deadline: a.plan.Deadline.Add(-budget.ReturnPath), Fingerprint: a.fingerprint, Idempotent: true,
 			Payload: work{
 				requestID: subRequestID(a.query.ID, shard.Name), shard: shard.Name, snapshot: a.plan.Snapshot,
 				filter: a.query.Filter, limit: a.plan.Limit, trace: a.trace,
--- a/entry/vm/order.go
+++ b/entry/vm/order.go
@@ -67,7 +67,7 @@
 	var out entry.Outcome
 	var err error
 	if o.Permit.Issuer == vm.settings.Address {
-		out, err = vm.runOrder(ctx, o, deadline.Add(-hopMargin))
+		out, err = vm.runOrder(ctx, o, deadline.Add(-budget.ReturnPath))
 	} else {
 		out, err = vm.forwardOrder(ctx, o, deadline)
 	}
@@ -83,7 +83,7 @@
 	id := vm.nextID.Add(1)
 	reply := vm.forwarded.expect(id)
 	defer vm.forwarded.forget(id)
-	m := &wire.OrderForward{ID: id, RequestID: o.ID, Deadline: deadline.Add(-hopMargin), Order: toWireOrder(o), TraceParent: traceOf(ctx)}
+	m := &wire.OrderForward{ID: id, RequestID: o.ID, Deadline: deadline.Add(-budget.ReturnPath), Order: toWireOrder(o), TraceParent: traceOf(ctx)}
 	if !vm.to.Peers.Send(o.Permit.Issuer, &wire.Envelope{Kind: codec.KindOrderForward, OrderForward: m}) {
 		return entry.Outcome{}, result.New(result.IssuerGone, "the issuer of the permit cannot be reached")
 	}
--- a/entry/vm/query.go
+++ b/entry/vm/query.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"pistachioshore.dev/budget"
 	"pistachioshore.dev/catalog"
 	"pistachioshore.dev/codec"
 	"pistachioshore.dev/entry"
@@ -13,9 +14,6 @@
 	"pistachioshore.dev/result"
 )
 
-// hopMargin is kept from a deadline for the way back over one hop.
-const hopMargin = 2 * time.Millisecond
-
 // Query answers a look-up from one snapshot. It starts over at most once, on a newer snapshot.
 func (vm *VM) Query(ctx context.Context, q entry.Query) (gather.Answer, error) {
 	now := vm.now()
@@ -35,7 +33,7 @@
 	defer vm.reached(Answered, q.ID)
 	ctx, span := vm.startQuerySpan(ctx, q)
 	defer span.End()
-	deadline := now.Add(r.deadline - hopMargin)
+	deadline := budget.Cap(now, q.Deadline, r.route.Deadline).Add(-budget.ReturnPath)
 	a, restart, err := vm.gather(ctx, q, cfg, r, deadline)
 	if newer := vm.catalog.InForce(); err == nil && restart && newer.Current != cfg.Current {
 		a = vm.startOver(ctx, q, newer, deadline, a)
@@ -77,11 +75,10 @@
 
 // resolved is a query with everything that its route decides.
 type resolved struct {
-	route    *catalog.Route
-	class    catalog.Class
-	groups   []string
-	deadline time.Duration
-	limit    int
+	route  *catalog.Route
+	class  catalog.Class
+	groups []string
+	limit  int
 }
 
 func resolve(cfg *catalog.Config, q entry.Query) (resolved, error) {
@@ -89,7 +86,7 @@
 	if !ok || !route.Idempotent {
 		return resolved{}, result.Field(result.UnknownRoute, "route", q.Route, "an idempotent route of the configuration")
 	}
-	r := resolved{route: route, class: route.Class, groups: route.Groups, deadline: route.Deadline, limit: cfg.Limits.AnswerRecords}
+	r := resolved{route: route, class: route.Class, groups: route.Groups, limit: cfg.Limits.AnswerRecords}
 	if q.Class != "" {
 		class, ok := catalog.ParseClass(q.Class)
 		if !ok || class < route.Class {
@@ -105,9 +102,6 @@
 			return r, result.Field(result.UnknownGroup, "groups", g, "the groups of the route")
 		}
 	}
-	if q.Deadline > 0 {
-		r.deadline = min(r.deadline, q.Deadline)
-	}
 	if q.Limit < 0 {
 		return r, result.Field(result.OutOfRange, "limit", "negative", "0 or more")
 	}
--- a/gather/outcome.go
+++ b/gather/outcome.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"pistachioshore.dev/budget"
 	"pistachioshore.dev/result"
 )
 
@@ -94,7 +95,7 @@
 		return false
 	}
 	typical := s.choose.Typical(s.plan.Shards[p.Shard].Shard.Group)
-	if now.Add(typical).After(s.plan.Deadline) {
+	if !budget.Enough(now, s.plan.Deadline, typical) {
 		return false
 	}
 	// These refusals cost no upstream work, so an untried replica is outside the retry budget: the
