--- a/budget/attempts.go
+++ b/budget/attempts.go
@@ -18,19 +18,19 @@
 	a.retries.SetShare(retryShare)
 }
 
-// Earn adds the shares of primary sub-requests.
-func (a *Attempts) Earn(primaries int) {
+// Earn adds the shares of primary sub-requests; all services share one budget.
+func (a *Attempts) Earn(_ string, primaries int) {
 	a.hedges.Earn(primaries)
 	a.retries.Earn(primaries)
 }
 
 // AllowHedge spends one hedge; it reports false if the budget has none.
-func (a *Attempts) AllowHedge() bool {
+func (a *Attempts) AllowHedge(string) bool {
 	return a.hedges.Take()
 }
 
 // AllowRetry spends one retry; it reports false if the budget has none.
-func (a *Attempts) AllowRetry() bool {
+func (a *Attempts) AllowRetry(string) bool {
 	return a.retries.Take()
 }
 
--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -28,11 +28,11 @@
 			n := 0
 			switch cmd {
 			case "earn":
-				attempts.Earn(int(a))
+				attempts.Earn("chiffrage-01", int(a))
 			case "hedges":
-				n = count(99, attempts.AllowHedge)
+				n = count(99, func() bool { return attempts.AllowHedge("chiffrage-01") })
 			case "retries":
-				n = count(99, attempts.AllowRetry)
+				n = count(99, func() bool { return attempts.AllowRetry("chiffrage-01") })
 			case "shares":
 				attempts.SetShares(a, b)
 			case "limit":
--- a/budget/tokens.go
+++ b/budget/tokens.go
@@ -14,12 +14,13 @@
 type tokens struct {
 	share int64 // units earned for each primary
 	level int64 // units held
+	burst int64 // most units held
 }
 
 // NewTokens returns a budget with a share from 0 to 1 and the tokens that it starts with.
 func NewTokens(share float64, start int) *Tokens {
 	level := int64(min(max(start, 0), Burst)) * tokenParts
-	return &Tokens{state: table.NewGuarded(table.RankBudget, tokens{units(share), level})}
+	return &Tokens{state: table.NewGuarded(table.RankBudget, tokens{units(share), level, Burst * tokenParts})}
 }
 
 // SetShare changes what later primaries earn.
@@ -27,16 +28,27 @@
 	t.state.With(func(s *tokens) { s.share = units(share) })
 }
 
+// SetBurst changes the most tokens held, which may have a fraction; tokens beyond it are lost.
+func (t *Tokens) SetBurst(burst float64) {
+	most := int64(min(max(burst, 0), Burst) * tokenParts)
+	t.state.With(func(s *tokens) { s.burst, s.level = most, min(s.level, most) })
+}
+
 // Earn adds the share of n primaries.
 func (t *Tokens) Earn(n int) {
 	n = min(max(n, 0), Burst*tokenParts) // beyond this the burst caps any share, and sums stay small
-	t.state.With(func(s *tokens) { s.level = min(s.level+int64(n)*s.share, Burst*tokenParts) })
+	t.state.With(func(s *tokens) { s.level = min(s.level+int64(n)*s.share, s.burst) })
 }
 
 // Take spends one token; it reports false if there is none.
 func (t *Tokens) Take() bool {
+	return t.TakeAbove(0)
+}
+
+// TakeAbove spends one token if at least reserve tokens remain; it reports false otherwise.
+func (t *Tokens) TakeAbove(reserve float64) bool {
 	return table.Read(t.state, func(s *tokens) bool {
-		if s.level < tokenParts {
+		if s.level < tokenParts+int64(reserve*tokenParts) {
 			return false
 		}
 		s.level -= tokenParts
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -15,7 +15,7 @@
 // Tier answers the requests of callers. Its errors are *result.Error.
 type Tier interface {
 	// Query fans a look-up out to its shards and returns a complete or partial answer.
-	Query(ctx context.Context, q Query) (gather.Answer, error)
+	Query(ctx context.Context, q Query) (Answer, error)
 	// Permit issues a permit for one order.
 	Permit(ctx context.Context) (permit.Permit, error)
 	// Order runs a non-idempotent operation at most once, or returns the kept outcome of its permit.
@@ -39,6 +39,31 @@
 	Limit    int // the configuration's limit if zero
 }
 
+// Matches is what one shard found.
+type Matches struct {
+	Records []record.Record
+	Matched int // records that matched, those beyond the limit included
+}
+
+// Answer is a query's answer with the merged records of its shards.
+type Answer struct {
+	gather.Answer[Matches]
+	Records []record.Record
+	Matched int
+}
+
+// NewAnswer merges the shard results of a into at most limit records.
+func NewAnswer(a gather.Answer[Matches], limit int) Answer {
+	merged := Answer{Answer: a}
+	var parts [][]record.Record
+	for _, p := range a.Parts {
+		parts = append(parts, p.Records)
+		merged.Matched += p.Matched
+	}
+	merged.Records = record.Merge(parts, limit)
+	return merged
+}
+
 // Order is a caller's request for one run of a non-idempotent operation.
 type Order struct {
 	ID        string
--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -16,7 +16,6 @@
 	"pistachioshore.dev/budget"
 	"pistachioshore.dev/codec"
 	"pistachioshore.dev/entry"
-	"pistachioshore.dev/gather"
 	"pistachioshore.dev/result"
 	"pistachioshore.dev/wire"
 )
@@ -174,7 +173,7 @@
 	return q, err
 }
 
-func toWire(id string, a gather.Answer) wire.QueryAnswer {
+func toWire(id string, a entry.Answer) wire.QueryAnswer {
 	out := wire.QueryAnswer{
 		RequestID: id, Code: int(a.Code), Result: a.Code.String(), Effect: a.Code.Effect().String(),
 		Snapshot: a.Snapshot, Revision: a.Revision, Matched: a.Matched, Records: codec.ToWireRecords(a.Records),
--- a/entry/front/front_test.go
+++ b/entry/front/front_test.go
@@ -42,9 +42,9 @@
 	return s.fail
 }
 
-func (s *scriptedTier) Query(_ context.Context, q entry.Query) (gather.Answer, error) {
+func (s *scriptedTier) Query(_ context.Context, q entry.Query) (entry.Answer, error) {
 	err := s.reached("query route=%s class=%s deadline=%s limit=%d contains=%s", q.Route, q.Class, q.Deadline, q.Limit, q.Filter.Contains)
-	return gather.Answer{Code: result.Complete, Snapshot: 4, Revision: 7, Covered: []string{"s"}}, err
+	return entry.Answer{Answer: gather.Answer[entry.Matches]{Code: result.Complete, Snapshot: 4, Revision: 7, Covered: []string{"s"}}}, err
 }
 
 func (s *scriptedTier) Permit(context.Context) (permit.Permit, error) {
--- a/entry/vm/active.go
+++ b/entry/vm/active.go
@@ -21,7 +21,7 @@
 	cfg         *catalog.Config
 	route       resolved
 	plan        gather.Plan
-	state       *gather.Query
+	state       *gather.Query[entry.Matches]
 	ids         []uint64 // sub-request number of each shard
 	fingerprint uint64
 	canaries    canaries
@@ -32,24 +32,24 @@
 	done    chan struct{}
 }
 
-func (a *activeQuery) run(ctx context.Context) (gather.Answer, bool, error) {
+func (a *activeQuery) run(ctx context.Context) (entry.Answer, bool, error) {
 	a.follow(a.state.Start(a.vm.now()))
 	select {
 	case <-a.done:
 	case <-ctx.Done():
 		a.abandon()
-		return gather.Answer{}, false, result.New(result.Late, "the caller has left")
+		return entry.Answer{}, false, result.New(result.Late, "the caller has left")
 	}
 	for range a.state.StaleParts() {
 		a.vm.observe.Counters.PartDropped()
 	}
-	answer := a.state.Answer()
+	answer := entry.NewAnswer(a.state.Answer(), a.route.limit)
 	a.vm.shedder.Observe(a.vm.now(), len(a.plan.Shards), overloaded(answer))
 	return answer, a.restart, nil
 }
 
 // overloaded counts the shards that an answer lacks because there was more work than time.
-func overloaded(a gather.Answer) int {
+func overloaded(a entry.Answer) int {
 	n := 0
 	for _, m := range a.Missing {
 		switch m.Code {
@@ -140,7 +140,7 @@
 			Class: a.route.class, Deadline: a.plan.Deadline.Add(-budget.ReturnPath), Fingerprint: a.fingerprint, Idempotent: true,
 			Payload: work{
 				requestID: subRequestID(a.query.ID, shard.Name), shard: shard.Name, snapshot: a.plan.Snapshot,
-				filter: a.query.Filter, limit: a.plan.Limit, trace: a.trace,
+				filter: a.query.Filter, limit: a.route.limit, trace: a.trace,
 			},
 		},
 		deliver: func(p part) { a.take(at, shard.Group, sent, p) },
@@ -155,8 +155,9 @@
 	}
 	now := a.vm.now()
 	a.vm.chooser.Observe(now, group, at.Server, observation(now.Sub(sent), p))
-	a.follow(a.state.Part(now, gather.Part{
-		Shard: at.Shard, Number: at.Number, Code: p.code, Snapshot: p.snapshot, Records: p.records, Matched: p.matched,
+	a.follow(a.state.Part(now, gather.Part[entry.Matches]{
+		Shard: at.Shard, Number: at.Number, Code: p.code, Snapshot: p.snapshot,
+		Value: entry.Matches{Records: p.records, Matched: p.matched},
 	}))
 }
 
--- a/entry/vm/query.go
+++ b/entry/vm/query.go
@@ -15,18 +15,18 @@
 )
 
 // Query answers a look-up from one snapshot. It starts over at most once, on a newer snapshot.
-func (vm *VM) Query(ctx context.Context, q entry.Query) (gather.Answer, error) {
+func (vm *VM) Query(ctx context.Context, q entry.Query) (entry.Answer, error) {
 	now := vm.now()
 	cfg, err := vm.accepting(now)
 	if err != nil {
-		return gather.Answer{}, vm.refused(err)
+		return entry.Answer{}, vm.refused(err)
 	}
 	r, err := resolve(cfg, q)
 	if err != nil {
-		return gather.Answer{}, vm.refused(err)
+		return entry.Answer{}, vm.refused(err)
 	}
 	if !vm.admit(now, r.class) {
-		return gather.Answer{}, vm.refused(result.New(result.Overloaded, "more requests of this class cannot be served in time"))
+		return entry.Answer{}, vm.refused(result.New(result.Overloaded, "more requests of this class cannot be served in time"))
 	}
 	defer vm.admission.Done(r.class)
 	vm.reached(Accepted, q.ID)
@@ -42,7 +42,7 @@
 }
 
 // startOver tries a query again on a newer snapshot; the first answer stands if that fails.
-func (vm *VM) startOver(ctx context.Context, q entry.Query, cfg *catalog.Config, deadline time.Time, first gather.Answer) gather.Answer {
+func (vm *VM) startOver(ctx context.Context, q entry.Query, cfg *catalog.Config, deadline time.Time, first entry.Answer) entry.Answer {
 	r, err := resolve(cfg, q)
 	if err != nil {
 		return first
@@ -112,17 +112,17 @@
 }
 
 // gather runs a query on the snapshot that cfg pins; restart says that a newer one is worth a try.
-func (vm *VM) gather(ctx context.Context, q entry.Query, cfg *catalog.Config, r resolved, deadline time.Time) (gather.Answer, bool, error) {
+func (vm *VM) gather(ctx context.Context, q entry.Query, cfg *catalog.Config, r resolved, deadline time.Time) (entry.Answer, bool, error) {
 	shards, ok := cfg.Shards(cfg.Current, r.groups)
 	if !ok {
-		return gather.Answer{}, false, result.New(result.Internal, "the current snapshot has no shard map")
+		return entry.Answer{}, false, result.New(result.Internal, "the current snapshot has no shard map")
 	}
 	a := &activeQuery{vm: vm, query: q, cfg: cfg, route: r, done: make(chan struct{}), trace: traceOf(ctx)}
 	a.fingerprint = fingerprintOf(q, r)
 	a.canaries = canaries{vm: vm, fingerprint: a.fingerprint}
 	canary, err := vm.mayRun(ctx, a.fingerprint, deadline)
 	if err != nil {
-		return gather.Answer{}, false, err
+		return entry.Answer{}, false, err
 	}
 	if canary {
 		a.canaries.granted()
@@ -130,7 +130,7 @@
 	defer a.canaries.end()
 	vm.reached(Permitted, q.ID)
 	a.plan = gather.Plan{
-		Snapshot: cfg.Current, Revision: cfg.Revision, Limit: r.limit, Deadline: deadline,
+		Snapshot: cfg.Current, Revision: cfg.Revision, Deadline: deadline,
 		MinimumCoverage: r.route.MinimumCoverage, StragglerWait: r.route.StragglerWait, Canary: canary,
 	}
 	for _, s := range shards {
@@ -138,7 +138,7 @@
 		a.ids = append(a.ids, vm.nextID.Add(1))
 	}
 	vm.reached(SnapshotPinned, q.ID)
-	a.state = gather.New(a.plan, vm.chooser, vm.routes.of(r.route), newRand())
+	a.state = gather.New[entry.Matches](a.plan, vm.chooser, vm.routes.of(r.route), newRand())
 	return a.run(ctx)
 }
 
@@ -174,7 +174,7 @@
 }
 
 // answered counts how a query has ended.
-func (vm *VM) answered(a gather.Answer, err error) error {
+func (vm *VM) answered(a entry.Answer, err error) error {
 	if err != nil {
 		return vm.refused(err)
 	}
--- /dev/null
+++ b/forward/answer.go
@@ -0,0 +1,100 @@
+package forward
+
+import (
+	"time"
+
+	"pistachioshore.dev/event"
+	"pistachioshore.dev/gather"
+	"pistachioshore.dev/result"
+)
+
+// answer builds the client's answer from the final state of the query.
+func (q *query) answer() Answer {
+	g := q.state.Answer()
+	if q.route.Sharded() {
+		return q.merged(g)
+	}
+	return q.single(g)
+}
+
+// merged returns the greatest records of the shards that answered.
+func (q *query) merged(g gather.Answer[*Response]) Answer {
+	a := Answer{Code: g.Code, Missing: len(g.Missing), Sharded: true}
+	if len(g.Covered) == 0 || g.Share() < q.route.MinCoverage {
+		a.Code = q.failed(g)
+		return q.ended(a, g)
+	}
+	bodies := make([][]byte, 0, len(g.Parts))
+	for _, p := range g.Parts {
+		bodies = append(bodies, p.Body)
+		a.Stamps = append(a.Stamps, p.Stamp)
+	}
+	a.Records = topRecords(bodies, q.route.TopK)
+	return q.ended(a, g)
+}
+
+// single returns the answer of the one upstream, also a failure that it signed.
+func (q *query) single(g gather.Answer[*Response]) Answer {
+	a := Answer{Code: g.Code}
+	if len(g.Parts) > 0 {
+		a.Response = g.Parts[0]
+		return q.ended(a, g)
+	}
+	a.Code = q.failed(g)
+	q.mu.Lock()
+	failure := q.failure
+	q.mu.Unlock()
+	if failure != nil && a.Code.Effect() == result.MayHaveRun {
+		a.Response = failure
+	}
+	return q.ended(a, g)
+}
+
+// failed returns the code of a query without a good answer. It says "not run" only if that holds for
+// every attempt.
+func (q *query) failed(g gather.Answer[*Response]) result.Code {
+	code := result.Unreachable
+	if len(g.Covered) > 0 {
+		code = result.Late
+	}
+	for _, m := range g.Missing {
+		if m.Code.Effect() != result.NotRun || code.Effect() == result.NotRun {
+			code = m.Code
+		}
+		if code == result.Late {
+			break
+		}
+	}
+	return code
+}
+
+// ended records how the query ended.
+func (q *query) ended(a Answer, g gather.Answer[*Response]) Answer {
+	kind := event.Answered
+	switch {
+	case a.Code == result.Partial:
+		kind = event.Partial
+	case a.Code == result.Complete:
+	case a.Code.Effect() == result.NotRun:
+		kind = event.Refused
+		a.RetryAfter = retryAfter(a.Code)
+	default:
+		kind = event.Failed
+	}
+	elapsed := time.Since(q.req.Arrived)
+	q.vm.stats.ended(q.route.Name, a.Code, elapsed)
+	q.mu.Lock()
+	retried := q.retried
+	q.mu.Unlock()
+	fields := q.fields(event.F(event.Code, a.Code), event.F(event.Covered, len(g.Covered)),
+		event.F(event.Shards, len(q.shards)), event.F(event.Number, retried))
+	if len(g.Missing) > 0 {
+		m := g.Missing[0]
+		fields = append(fields, event.F(event.Service, m.Shard.Service), event.F(event.Reason, m.Code))
+	}
+	if a.RetryAfter > 0 {
+		fields = append(fields, event.F(event.After, a.RetryAfter))
+	}
+	q.vm.events.Record(kind, fields...)
+	return a
+}
--- /dev/null
+++ b/forward/budgets.go
@@ -0,0 +1,66 @@
+package forward
+
+import (
+	"pistachioshore.dev/budget"
+	"pistachioshore.dev/gather"
+	"pistachioshore.dev/table"
+)
+
+// budgets hold the attempts beyond the first that this VM may send to each service.
+type budgets struct {
+	state *table.Guarded[budgetState]
+}
+
+type budgetState struct {
+	share     float64
+	burst     float64
+	byService map[string]*budget.Tokens
+}
+
+var _ gather.Budget = (*budgets)(nil)
+
+func newBudgets(share float64) *budgets {
+	return &budgets{state: table.NewGuarded(table.RankBudget, budgetState{share: share, byService: map[string]*budget.Tokens{}})}
+}
+
+// setBurst sets how many tokens a service may have saved.
+func (b *budgets) setBurst(burst float64) {
+	b.state.With(func(s *budgetState) {
+		s.burst = burst
+		for _, t := range s.byService {
+			t.SetBurst(burst)
+		}
+	})
+}
+
+func (b *budgets) of(service string) *budget.Tokens {
+	return table.Read(b.state, func(s *budgetState) *budget.Tokens {
+		t, ok := s.byService[service]
+		if !ok {
+			t = budget.NewTokens(s.share, 0)
+			t.SetBurst(s.burst)
+			s.byService[service] = t
+		}
+		return t
+	})
+}
+
+// Earn notes requests for a service.
+func (b *budgets) Earn(service string, primaries int) {
+	b.of(service).Earn(primaries)
+}
+
+// AllowHedge spends a token unless it is one of those that are left to retries.
+func (b *budgets) AllowHedge(service string) bool {
+	return b.of(service).TakeAbove(hedgeReserve)
+}
+
+// AllowRetry spends a token.
+func (b *budgets) AllowRetry(service string) bool {
+	return b.of(service).Take()
+}
+
+// Level returns the tokens left for a service.
+func (b *budgets) Level(service string) float64 {
+	return b.of(service).Level()
+}
--- /dev/null
+++ b/forward/forward.go
@@ -0,0 +1,90 @@
+// Package forward serves requests by sending them on to upstreams directly: to one upstream of a
+// service, or to one upstream of each shard with a merged answer.
+package forward
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"pistachioshore.dev/replica"
+	"pistachioshore.dev/result"
+	"pistachioshore.dev/route"
+)
+
+// Server answers the requests of clients.
+type Server interface {
+	// Serve returns the answer to a request; it returns early once ctx has ended.
+	Serve(ctx context.Context, req *Request) Answer
+}
+
+// Request is one attempt of a client.
+type Request struct {
+	ID       string
+	Method   string
+	Target   string // path and query as the client sent them
+	Path     string
+	Host     string
+	Header   http.Header
+	Body     []byte
+	Arrived  time.Time
+	Deadline time.Time // zero if the client named none
+}
+
+// Response is what an upstream answered.
+type Response struct {
+	Status int
+	Header http.Header
+	Body   []byte
+	Stamp  string // signature of the upstream, empty if there is none
+}
+
+// Reply is how an attempt ended; Response is nil if the upstream did not answer.
+type Reply struct {
+	Code     result.Code
+	Ending   replica.Ending
+	Response *Response
+	Load     *replica.Load
+}
+
+// Attempt is a request on its way to one upstream.
+type Attempt struct {
+	Request     *Request
+	Server      route.Server
+	Connections int // connections that this VM may open to the upstream
+	Deadline    time.Time
+}
+
+// Pending is an attempt under way.
+type Pending interface {
+	// Abandon drops the reply, but leaves the attempt at most limit to end.
+	Abandon(limit time.Duration)
+	// Close drops the reply and tells the upstream that nobody waits.
+	Close()
+}
+
+// Sender sends attempts to upstreams.
+type Sender interface {
+	// Send starts an attempt; done is called once unless the attempt is abandoned or closed, and must not block.
+	Send(a Attempt, done func(Reply)) Pending
+}
+
+// Answer is what a client gets. Code tells which of the other fields are set.
+type Answer struct {
+	Code       result.Code
+	Response   *Response     // of the one upstream that answered
+	Records    []byte        // merged records of a sharded route
+	Stamps     []string      // signatures of the shards in Records
+	Missing    int           // shards that Records lack
+	RetryAfter time.Duration // for a refusal: when there will be room; 0 if it is not known
+	Sharded    bool
+}
+
+// Settings are what a VM learns from its platform before it starts.
+type Settings struct {
+	Replica     replica.Settings
+	RetryShare  float64 // attempts beyond the first for each request, over all VMs
+	RetryBurst  int     // attempts beyond that in the window of the platform, over all VMs
+	MaxInFlight int     // requests that this VM serves at once
+	Workers     int     // goroutines that run decisions
+}
--- /dev/null
+++ b/forward/query.go
@@ -0,0 +1,338 @@
+package forward
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"pistachioshore.dev/catalog"
+	"pistachioshore.dev/event"
+	"pistachioshore.dev/gather"
+	"pistachioshore.dev/replica"
+	"pistachioshore.dev/result"
+	"pistachioshore.dev/route"
+)
+
+// query is one request under way.
+type query struct {
+	vm       *VM
+	req      *Request
+	cfg      *route.Config
+	route    *route.Route
+	deadline time.Time
+	answerBy time.Time
+	state    *gather.Query[*Response]
+	shards   []catalog.Shard
+
+	once sync.Once
+	done chan struct{}
+
+	mu      sync.Mutex
+	pending map[attemptKey]*sent
+	failure *Response // of an upstream that answered with an error
+	retried int
+}
+
+type attemptKey struct {
+	shard, number int
+}
+
+// sent is an attempt that has left.
+type sent struct {
+	pending Pending
+	ticket  replica.Ticket
+	at      time.Time
+}
+
+func newQuery(vm *VM, req *Request, cfg *route.Config, r *route.Route) *query {
+	return &query{vm: vm, req: req, cfg: cfg, route: r, done: make(chan struct{}), pending: map[attemptKey]*sent{}}
+}
+
+// plan chooses the shards and their replicas. It returns a code if the request cannot be served now.
+func (q *query) plan() (result.Code, string) {
+	now := time.Now()
+	q.deadline = q.limit()
+	if !q.deadline.After(now) {
+		return result.DeadlineExpired, "no time is left"
+	}
+	p := gather.Plan{
+		Snapshot:         q.cfg.Version,
+		Revision:         q.cfg.Version,
+		Deadline:         q.deadline,
+		MinimumCoverage:  1,
+		CoverageRequired: true,
+		MaxAttempts:      max(q.route.MaxAttempts, 1),
+		NotIdempotent:    !q.route.Idempotent,
+	}
+	if q.route.Sharded() {
+		p.MinimumCoverage = q.route.MinCoverage
+		if q.route.Target > 0 {
+			p.AnswerBy = q.req.Arrived.Add(q.route.Target - returnPath)
+			q.answerBy = p.AnswerBy
+		}
+	}
+	reachable := 0
+	for _, service := range q.services() {
+		sp := q.shardPlan(now, service)
+		if len(sp.Replicas) > 0 {
+			reachable++
+		}
+		p.Shards = append(p.Shards, sp)
+		q.shards = append(q.shards, sp.Shard)
+	}
+	if reachable == 0 || float64(reachable) < p.MinimumCoverage*float64(len(p.Shards)) {
+		return result.Unreachable, "too few services have an upstream that may be used"
+	}
+	q.state = gather.New[*Response](p, q, q.vm.budgets, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	return 0, ""
+}
+
+// limit returns the time at which the client has left or the operator wants the request ended.
+func (q *query) limit() time.Time {
+	end := q.req.Deadline
+	if end.IsZero() {
+		end = q.req.Arrived.Add(defaultDeadline)
+	}
+	if q.route.Timeout > 0 {
+		if t := q.req.Arrived.Add(q.route.Timeout); t.Before(end) {
+			end = t
+		}
+	}
+	return end.Add(-returnPath)
+}
+
+func (q *query) services() []string {
+	if q.route.Sharded() {
+		return q.route.Shards
+	}
+	return []string{q.vm.splitter.Next(q.route)}
+}
+
+func (q *query) shardPlan(now time.Time, service string) gather.ShardPlan {
+	return gather.ShardPlan{
+		Shard:    catalog.Shard{Name: service, Group: q.route.Name, Service: service},
+		Replicas: q.vm.replicas.Candidates(now, service, q.route.Regions),
+		Refused:  result.Unreachable,
+	}
+}
+
+// Choose returns the replica that is expected to answer first.
+func (q *query) Choose(now time.Time, r *rand.Rand, candidates []string) string {
+	return q.vm.replicas.Choose(now, r, candidates)
+}
+
+// HedgeDelay returns how long an attempt may take before a second one is worth its cost.
+func (q *query) HedgeDelay(group string) time.Duration {
+	d := q.vm.latency.HedgeDelay(group)
+	if q.route.Target > 0 {
+		d = min(d, time.Duration(hedgeTargetShare*float64(q.route.Target)))
+	}
+	return max(d, hedgeFloor)
+}
+
+// Typical returns the median time of an attempt.
+func (q *query) Typical(group string) time.Duration {
+	return q.vm.latency.Typical(group)
+}
+
+// Queued reports false: a queue at an upstream is part of the cost that Choose compares.
+func (q *query) Queued(string) bool {
+	return false
+}
+
+// run sends the request and waits for the answer or the end of ctx.
+func (q *query) run(ctx context.Context) Answer {
+	q.follow(q.state.Start(time.Now()))
+	select {
+	case <-q.done:
+	case <-ctx.Done():
+		q.leave()
+		q.vm.stats.abandoned(q.route.Name)
+		q.vm.events.Record(event.Abandoned, q.fields()...)
+		return Answer{Code: result.Cancelled}
+	}
+	q.release()
+	return q.answer()
+}
+
+// follow does what a step of the state machine asks for.
+func (q *query) follow(st gather.Step) {
+	for _, a := range st.Cancel {
+		q.abandon(a)
+	}
+	for _, a := range st.Send {
+		q.send(a)
+	}
+	if !st.WakeAt.IsZero() {
+		q.vm.timers.At(st.WakeAt, func() { q.follow(q.state.Wake(time.Now())) })
+	}
+	if st.Done {
+		q.once.Do(func() { close(q.done) })
+	}
+}
+
+// send starts an attempt, unless its replica may get nothing any more.
+func (q *query) send(a gather.Attempt) {
+	now := time.Now()
+	service := q.cfg.Services[q.shards[a.Shard].Service]
+	ticket, ok := q.vm.replicas.Start(now, a.Server, service)
+	if !ok {
+		q.vm.work.Submit(func() { q.part(a, Reply{Code: result.UpstreamLeaving}, 0) })
+		return
+	}
+	q.note(a, now)
+	key := attemptKey{a.Shard, a.Number}
+	s := &sent{ticket: ticket, at: now}
+	q.mu.Lock()
+	q.pending[key] = s
+	q.mu.Unlock()
+	p := q.vm.sender.Send(Attempt{
+		Request: q.req, Server: ticket.Server, Connections: q.vm.connections(service), Deadline: q.deadline,
+	}, func(reply Reply) {
+		q.vm.work.Submit(func() { q.take(a, s, reply) })
+	})
+	q.mu.Lock()
+	s.pending = p
+	q.mu.Unlock()
+}
+
+// note records an attempt beyond the first.
+func (q *query) note(a gather.Attempt, now time.Time) {
+	q.vm.stats.sent(a)
+	if a.Number == 1 {
+		return
+	}
+	q.mu.Lock()
+	q.retried++
+	q.mu.Unlock()
+	if a.Hedge {
+		service := q.shards[a.Shard].Service
+		q.vm.events.Record(event.Hedged, event.F(event.Request, q.req.ID), event.F(event.Service, service),
+			event.F(event.Server, a.Server), event.F(event.Number, a.Number), event.F(event.After, q.HedgeDelay(q.route.Name)),
+			event.F(event.Elapsed, now.Sub(q.req.Arrived)), event.F(event.Left, q.vm.budgets.Level(service)))
+	}
+}
+
+// take takes the end of an attempt that is still waited for.
+func (q *query) take(a gather.Attempt, s *sent, reply Reply) {
+	key := attemptKey{a.Shard, a.Number}
+	q.mu.Lock()
+	waited := q.pending[key] == s
+	if waited {
+		delete(q.pending, key)
+	}
+	if waited && reply.Response != nil && reply.Code != result.Complete {
+		q.failure = reply.Response
+	}
+	q.mu.Unlock()
+	if !waited {
+		return
+	}
+	now := time.Now()
+	elapsed := now.Sub(s.at)
+	q.vm.observe(now, q.route.Name, s.ticket, reply, elapsed)
+	q.part(a, reply, elapsed)
+}
+
+// part passes the end of an attempt on to the state machine.
+func (q *query) part(a gather.Attempt, reply Reply, elapsed time.Duration) {
+	if reply.Code != result.Complete {
+		q.logAttempt(a, reply, elapsed)
+	}
+	q.follow(q.state.Part(time.Now(), gather.Part[*Response]{
+		Shard: a.Shard, Number: a.Number, Code: reply.Code, Snapshot: q.cfg.Version, Value: reply.Response,
+	}))
+}
+
+func (q *query) logAttempt(a gather.Attempt, reply Reply, elapsed time.Duration) {
+	status := 0
+	if reply.Response != nil {
+		status = reply.Response.Status
+	}
+	q.vm.stats.attemptFailed(reply.Code)
+	q.vm.events.Record(event.Attempt, event.F(event.Request, q.req.ID), event.F(event.Service, q.shards[a.Shard].Service),
+		event.F(event.Server, a.Server), event.F(event.Number, a.Number), event.F(event.Code, reply.Code),
+		event.F(event.Status, status), event.F(event.Elapsed, elapsed))
+}
+
+// abandon gives up an attempt that another one of its shard has beaten.
+func (q *query) abandon(a gather.Attempt) {
+	q.mu.Lock()
+	key := attemptKey{a.Shard, a.Number}
+	s := q.pending[key]
+	delete(q.pending, key)
+	q.mu.Unlock()
+	if s != nil {
+		q.vm.withdraw(s, q.route.Name, false)
+	}
+}
+
+// release gives up what is still pending after the answer.
+func (q *query) release() {
+	for _, s := range q.drain() {
+		q.vm.withdraw(s, q.route.Name, false)
+	}
+}
+
+// leave tells the upstreams that the client has gone.
+func (q *query) leave() {
+	q.state.Stop()
+	for _, s := range q.drain() {
+		q.vm.withdraw(s, q.route.Name, true)
+	}
+}
+
+func (q *query) drain() []*sent {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	list := make([]*sent, 0, len(q.pending))
+	for key, s := range q.pending {
+		list = append(list, s)
+		delete(q.pending, key)
+	}
+	return list
+}
+
+// withdraw gives up one attempt.
+func (vm *VM) withdraw(s *sent, group string, hangUp bool) {
+	now := time.Now()
+	vm.replicas.End(now, s.ticket, replica.Result{
+		Ending: replica.Withdrawn, Elapsed: now.Sub(s.at), Typical: vm.latency.Typical(group),
+	})
+	vm.latency.ObserveAtLeast(now, group, now.Sub(s.at))
+	switch {
+	case s.pending == nil:
+	case hangUp:
+		s.pending.Close()
+	default:
+		s.pending.Abandon(lateAnswer)
+	}
+}
+
+// observe takes what the end of an attempt tells about its replica.
+func (vm *VM) observe(now time.Time, group string, ticket replica.Ticket, reply Reply, elapsed time.Duration) {
+	typical := vm.latency.Typical(group)
+	vm.replicas.End(now, ticket, replica.Result{Ending: reply.Ending, Elapsed: elapsed, Typical: typical, Load: reply.Load})
+	if reply.Ending == replica.Answered {
+		vm.latency.Observe(now, group, elapsed)
+	}
+}
+
+// connections returns the connections that this VM may open to one upstream of the service.
+func (vm *VM) connections(s route.Service) int {
+	if s.MaxConnections <= 0 {
+		return mostConnections
+	}
+	var members int
+	vm.load.With(func(l *inFlight) { members = l.members })
+	return max(s.MaxConnections/members, 1)
+}
+
+// fields returns what every line about the query says.
+func (q *query) fields(more ...event.Field) []event.Field {
+	return append([]event.Field{
+		event.F(event.Request, q.req.ID), event.F(event.Route, q.route.Name), event.F(event.Version, q.cfg.Version),
+		event.F(event.Age, q.vm.routes.Age(time.Now())), event.F(event.Elapsed, time.Since(q.req.Arrived)),
+	}, more...)
+}
--- /dev/null
+++ b/forward/records.go
@@ -0,0 +1,57 @@
+package forward
+
+import (
+	"bytes"
+	"container/heap"
+	"slices"
+)
+
+// recordSize is the size of a record in bytes; a shorter remainder is none.
+const recordSize = 16
+
+// topRecords returns the greatest n records of the bodies, greatest first, compared byte by byte.
+func topRecords(bodies [][]byte, n int) []byte {
+	if n <= 0 {
+		return nil
+	}
+	least := make(recordHeap, 0, n)
+	for _, b := range bodies {
+		for ; len(b) >= recordSize; b = b[recordSize:] {
+			least = least.keep(b[:recordSize], n)
+		}
+	}
+	slices.SortFunc(least, func(a, b []byte) int { return bytes.Compare(b, a) })
+	out := make([]byte, 0, len(least)*recordSize)
+	for _, r := range least {
+		out = append(out, r...)
+	}
+	return out
+}
+
+// recordHeap has the smallest record first.
+type recordHeap [][]byte
+
+// keep adds the record if it is one of the greatest n.
+func (h recordHeap) keep(r []byte, n int) recordHeap {
+	if len(h) < n {
+		heap.Push(&h, r)
+		return h
+	}
+	if bytes.Compare(r, h[0]) > 0 {
+		h[0] = r
+		heap.Fix(&h, 0)
+	}
+	return h
+}
+
+func (h recordHeap) Len() int           { return len(h) }
+func (h recordHeap) Less(i, j int) bool { return bytes.Compare(h[i], h[j]) < 0 }
+func (h recordHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *recordHeap) Push(x any)        { *h = append(*h, x.([]byte)) }
+
+func (h *recordHeap) Pop() any {
+	old := *h
+	r := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return r
+}
--- /dev/null
+++ b/forward/vm.go
@@ -0,0 +1,156 @@
+package forward
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"pistachioshore.dev/balancer"
+	"pistachioshore.dev/event"
+	"pistachioshore.dev/pool"
+	"pistachioshore.dev/replica"
+	"pistachioshore.dev/result"
+	"pistachioshore.dev/route"
+	"pistachioshore.dev/table"
+)
+
+// VM serves requests on one VM of the tier; it is safe for concurrent use.
+type VM struct {
+	settings Settings
+	routes   *route.Store
+	replicas *replica.Table
+	splitter *route.Splitter
+	latency  *balancer.Latency
+	budgets  *budgets
+	sender   Sender
+	events   event.Recorder
+	stats    *Stats
+
+	work   *pool.Pool[func()]
+	timers *pool.Timers[func()]
+	load   *table.Guarded[inFlight]
+}
+
+// inFlight counts what the VM is doing.
+type inFlight struct {
+	requests int
+	members  int
+	refusing bool
+}
+
+var _ Server = (*VM)(nil)
+
+// New returns a VM that serves what the stores of routes and replicas hold.
+func New(s Settings, routes *route.Store, replicas *replica.Table, sender Sender, events event.Recorder) *VM {
+	vm := &VM{
+		settings: s, routes: routes, replicas: replicas, sender: sender, events: events,
+		splitter: route.NewSplitter(),
+		latency:  balancer.NewLatency(latencySettings()),
+		budgets:  newBudgets(s.RetryShare * budgetUse),
+		stats:    newStats(),
+		load:     table.NewGuarded(table.RankPending, inFlight{members: 1}),
+	}
+	vm.work = pool.New(s.Workers, func(task func()) { task() })
+	vm.timers = pool.NewTimers[func()](vm.work)
+	vm.SetMembers(1)
+	return vm
+}
+
+// latencySettings returns the settings of the estimator; the queries bound the hedge delay by their target.
+func latencySettings() balancer.LatencySettings {
+	s := balancer.LatencyDefaults()
+	s.HedgeFloor = hedgeFloor
+	return s
+}
+
+// SetMembers sets the number of VMs that share the limits of upstreams and budgets.
+func (vm *VM) SetMembers(n int) {
+	n = max(n, 1)
+	vm.load.With(func(l *inFlight) { l.members = n })
+	vm.replicas.SetMembers(n)
+	vm.budgets.setBurst(float64(vm.settings.RetryBurst) * budgetUse / float64(n))
+}
+
+// Refuse makes the VM refuse new requests as not run, as the last step before it stops.
+func (vm *VM) Refuse() {
+	vm.load.With(func(l *inFlight) { l.refusing = true })
+}
+
+// InFlight returns the number of requests that are being served.
+func (vm *VM) InFlight() int {
+	return table.Read(vm.load, func(l *inFlight) int { return l.requests })
+}
+
+// Stats returns the counters of the VM.
+func (vm *VM) Stats() *Stats {
+	return vm.stats
+}
+
+// Close ends the workers; no request may be under way.
+func (vm *VM) Close() {
+	vm.timers.Stop()
+	vm.work.Stop()
+}
+
+// Serve returns the answer to a request.
+func (vm *VM) Serve(ctx context.Context, req *Request) Answer {
+	cfg := vm.routes.InForce()
+	if cfg == nil {
+		return vm.refuse(req, nil, 0, result.NotReady, "no configuration yet")
+	}
+	r, ok := cfg.Match(req.Host, req.Path)
+	if !ok {
+		return vm.refuse(req, nil, cfg.Version, result.UnknownRoute, "no route for host and path")
+	}
+	if code, why := vm.admit(); code != 0 {
+		return vm.refuse(req, r, cfg.Version, code, why)
+	}
+	defer vm.load.With(func(l *inFlight) { l.requests-- })
+	q := newQuery(vm, req, cfg, r)
+	if code, why := q.plan(); code != 0 {
+		return vm.refuse(req, r, cfg.Version, code, why)
+	}
+	return q.run(ctx)
+}
+
+// admit counts a request as in flight unless the VM has no room for it.
+func (vm *VM) admit() (code result.Code, why string) {
+	vm.load.With(func(l *inFlight) {
+		switch {
+		case l.refusing:
+			code, why = result.Stopping, "the VM is stopping"
+		case l.requests >= vm.settings.MaxInFlight:
+			code, why = result.Overloaded, "too many requests in flight"
+		default:
+			l.requests++
+		}
+	})
+	return code, why
+}
+
+// refuse records a request that has not run and never will.
+func (vm *VM) refuse(req *Request, r *route.Route, version uint64, code result.Code, why string) Answer {
+	name := ""
+	if r != nil {
+		name = r.Name
+	}
+	a := Answer{Code: code, RetryAfter: retryAfter(code)}
+	vm.stats.ended(name, code, time.Since(req.Arrived))
+	vm.events.Record(event.Refused, event.F(event.Request, req.ID), event.F(event.Route, name),
+		event.F(event.Code, code), event.F(event.Reason, why), event.F(event.Version, version),
+		event.F(event.Running, vm.InFlight()), event.F(event.After, a.RetryAfter), event.F(event.Elapsed, time.Since(req.Arrived)))
+	return a
+}
+
+// retryAfter returns when a refused client should come back, spread so that clients do not return together.
+func retryAfter(code result.Code) time.Duration {
+	switch code {
+	case result.UnknownRoute:
+		return 0
+	case result.NotReady, result.Stopping:
+		return leastRetryAfter
+	default:
+		spread := time.Duration(rand.Int64N(int64(3 * leastRetryAfter)))
+		return min(2*leastRetryAfter+spread, mostRetryAfter)
+	}
+}
--- a/gather/answer.go
+++ b/gather/answer.go
@@ -3,28 +3,41 @@
 import (
 	"time"
 
-	"pistachioshore.dev/record"
 	"pistachioshore.dev/result"
 )
 
 // settle decides whether the answer is ready and otherwise when to look again.
-func (s *state) settle(now time.Time, st *Step) {
+func (s *state[P]) settle(now time.Time, st *Step) {
 	n := len(s.shards)
 	if s.reached.IsZero() && n > 0 && float64(s.covered) >= s.plan.MinimumCoverage*float64(n) && s.covered > 0 {
 		s.reached = now
 	}
-	end := s.plan.Deadline
-	if !s.reached.IsZero() {
-		end = earlier(end, s.reached.Add(s.plan.StragglerWait))
-	}
-	if s.open == 0 || !now.Before(end) {
+	end := s.end()
+	if s.open == 0 || s.hopeless() || !now.Before(end) {
 		s.finish(now, st)
 		return
 	}
 	st.WakeAt = earlier(end, s.nextHedge(now, end))
 }
 
-func (s *state) finish(now time.Time, st *Step) {
+// end returns the time at which the query ends with what it has by then.
+func (s *state[P]) end() time.Time {
+	switch {
+	case s.reached.IsZero():
+		return s.plan.Deadline
+	case !s.plan.AnswerBy.IsZero():
+		return earlier(s.plan.Deadline, s.plan.AnswerBy)
+	default:
+		return earlier(s.plan.Deadline, s.reached.Add(s.plan.StragglerWait))
+	}
+}
+
+// hopeless reports whether the coverage that the answer needs can no longer be reached.
+func (s *state[P]) hopeless() bool {
+	return s.plan.CoverageRequired && float64(s.covered+s.open) < s.plan.MinimumCoverage*float64(len(s.shards))
+}
+
+func (s *state[P]) finish(now time.Time, st *Step) {
 	s.done = true
 	st.Done = true
 	st.Restart = s.worthRestart(now)
@@ -45,7 +58,7 @@
 
 // worthRestart reports whether shards lost to a gone snapshot, and nothing else, keep the answer
 // below its minimum while at least as much time is left as has to be kept for a second try.
-func (s *state) worthRestart(now time.Time) bool {
+func (s *state[P]) worthRestart(now time.Time) bool {
 	n := len(s.shards)
 	gone := 0
 	for i := range s.shards {
@@ -58,7 +71,7 @@
 	return gone > 0 && below && enough && s.timeLeft(now)
 }
 
-func (s *state) timeLeft(now time.Time) bool {
+func (s *state[P]) timeLeft(now time.Time) bool {
 	var first time.Time
 	for i := range s.shards {
 		for _, a := range s.shards[i].attempts {
@@ -70,9 +83,8 @@
 	return s.plan.Deadline.Sub(now) >= s.plan.Deadline.Sub(first)/2
 }
 
-func (s *state) answer() Answer {
-	a := Answer{Code: result.Complete, Snapshot: s.plan.Snapshot, Revision: s.plan.Revision}
-	var parts [][]record.Record
+func (s *state[P]) answer() Answer[P] {
+	a := Answer[P]{Code: result.Complete, Snapshot: s.plan.Snapshot, Revision: s.plan.Revision}
 	for i := range s.shards {
 		sh := &s.shards[i]
 		if sh.part == nil {
@@ -84,13 +96,11 @@
 			continue
 		}
 		a.Covered = append(a.Covered, s.plan.Shards[i].Shard.Name)
-		a.Matched += sh.part.Matched
-		parts = append(parts, sh.part.Records)
+		a.Parts = append(a.Parts, sh.part.Value)
 	}
 	if len(a.Missing) > 0 {
 		a.Code = result.Partial
 	}
-	a.Records = record.Merge(parts, s.plan.Limit)
 	return a
 }
 
--- a/gather/attempts.go
+++ b/gather/attempts.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-func (s *state) start(now time.Time) Step {
+func (s *state[P]) start(now time.Time) Step {
 	var st Step
 	for i, p := range s.plan.Shards {
 		if len(p.Replicas) == 0 {
@@ -22,7 +22,7 @@
 }
 
 // startCanary runs the first open shard that has the fewest attempts alone.
-func (s *state) startCanary(now time.Time, st *Step) {
+func (s *state[P]) startCanary(now time.Time, st *Step) {
 	s.canary = -1
 	for i := range s.shards {
 		if s.shards[i].ended() {
@@ -38,18 +38,16 @@
 }
 
 // sendOpen sends an attempt for each shard that has neither an outcome nor a pending attempt.
-func (s *state) sendOpen(now time.Time, st *Step) {
-	n := 0
+func (s *state[P]) sendOpen(now time.Time, st *Step) {
 	for i := range s.shards {
 		if !s.shards[i].ended() && !s.shards[i].pending() {
 			s.send(now, i, false, st)
-			n++
+			s.budget.Earn(s.service(i), 1)
 		}
 	}
-	s.budget.Earn(n)
 }
 
-func (s *state) send(now time.Time, i int, hedge bool, st *Step) {
+func (s *state[P]) send(now time.Time, i int, hedge bool, st *Step) {
 	sh := &s.shards[i]
 	a := Attempt{
 		Shard:  i,
@@ -61,8 +59,13 @@
 	st.Send = append(st.Send, a)
 }
 
+// service returns the service of a shard, which its budget is kept by.
+func (s *state[P]) service(i int) string {
+	return s.plan.Shards[i].Shard.Service
+}
+
 // candidates returns the replicas that the shard has not tried yet, or all of them.
-func (s *state) candidates(i int) []string {
+func (s *state[P]) candidates(i int) []string {
 	if fresh := s.untried(i); len(fresh) > 0 {
 		return fresh
 	}
@@ -70,7 +73,7 @@
 }
 
 // untried returns the replicas that no attempt of the shard has gone to.
-func (s *state) untried(i int) []string {
+func (s *state[P]) untried(i int) []string {
 	return slices.DeleteFunc(slices.Clone(s.plan.Shards[i].Replicas), func(name string) bool {
 		return slices.ContainsFunc(s.shards[i].attempts, func(a attempt) bool { return a.Server == name })
 	})
@@ -78,14 +81,17 @@
 
 // hedge sends a second attempt for each shard whose only pending attempt is late. A second canary
 // request needs the coordinator's leave, because it is a second upstream at risk.
-func (s *state) hedge(now time.Time, st *Step) {
+func (s *state[P]) hedge(now time.Time, st *Step) {
+	if s.plan.NotIdempotent {
+		return
+	}
 	for i := range s.shards {
 		sh := &s.shards[i]
 		late, ok := s.lateAttempt(now, i)
-		if !ok || len(sh.attempts) >= MaxAttempts || len(s.plan.Shards[i].Replicas) < 2 {
+		if !ok || len(sh.attempts) >= s.plan.MaxAttempts || len(s.plan.Shards[i].Replicas) < 2 {
 			continue
 		}
-		if s.choose.Queued(late.Server) || !s.budget.AllowHedge() {
+		if s.choose.Queued(late.Server) || !s.budget.AllowHedge(s.service(i)) {
 			continue
 		}
 		if s.canary == i {
@@ -98,7 +104,7 @@
 }
 
 // lateAttempt returns the shard's only pending attempt if it is beyond the hedge delay and no hedge was sent.
-func (s *state) lateAttempt(now time.Time, i int) (attempt, bool) {
+func (s *state[P]) lateAttempt(now time.Time, i int) (attempt, bool) {
 	sh := &s.shards[i]
 	if sh.ended() || s.asking || (s.canary >= 0 && s.canary != i) {
 		return attempt{}, false
@@ -120,7 +126,7 @@
 }
 
 // nextHedge returns the earliest time at which a pending attempt becomes late.
-func (s *state) nextHedge(now, end time.Time) time.Time {
+func (s *state[P]) nextHedge(now, end time.Time) time.Time {
 	next := end
 	for i := range s.shards {
 		sh := &s.shards[i]
--- a/gather/gather.go
+++ b/gather/gather.go
@@ -6,11 +6,10 @@
 	"time"
 
 	"pistachioshore.dev/catalog"
-	"pistachioshore.dev/record"
 	"pistachioshore.dev/result"
 )
 
-// MaxAttempts bounds the attempts of one shard, the first and its hedge included.
+// MaxAttempts bounds the attempts of one shard, the first and its hedge included, where the plan says nothing else.
 const MaxAttempts = 4
 
 // Chooser picks the replica of a service that an attempt goes to.
@@ -25,23 +24,26 @@
 	Queued(server string) bool
 }
 
-// Budget grants the attempts beyond the first.
+// Budget grants the attempts beyond the first, by the service that they go to.
 type Budget interface {
-	Earn(primaries int)
-	AllowHedge() bool
-	AllowRetry() bool
+	Earn(service string, primaries int)
+	AllowHedge(service string) bool
+	AllowRetry(service string) bool
 }
 
 // Plan is everything that a query needs to know before its first sub-request.
 type Plan struct {
-	Snapshot        uint64
-	Revision        uint64
-	Shards          []ShardPlan
-	Limit           int
-	Deadline        time.Time
-	MinimumCoverage float64
-	StragglerWait   time.Duration
-	Canary          bool // run one shard alone first, because the fingerprint is not known to be good
+	Snapshot         uint64
+	Revision         uint64
+	Shards           []ShardPlan
+	Deadline         time.Time
+	MinimumCoverage  float64
+	CoverageRequired bool // an answer below MinimumCoverage is of no use, so the query ends once it is out of reach
+	StragglerWait    time.Duration
+	AnswerBy         time.Time // answer at this time if MinimumCoverage is reached, instead of StragglerWait; zero for none
+	MaxAttempts      int       // attempts of one shard; 0 for the constant of that name
+	NotIdempotent    bool      // send no hedges, and retry only what has certainly not run
+	Canary           bool      // run one shard alone first, because the fingerprint is not known to be good
 }
 
 // ShardPlan is one shard with the upstreams that can serve it; Refused says why there are none.
@@ -59,14 +61,13 @@
 	Hedge  bool
 }
 
-// Part is the outcome of an attempt.
-type Part struct {
+// Part is the outcome of an attempt; Value is the shard result of a complete one.
+type Part[P any] struct {
 	Shard    int
 	Number   int
 	Code     result.Code
 	Snapshot uint64
-	Records  []record.Record
-	Matched  int
+	Value    P
 }
 
 // Step is what the caller of a Query method has to do next.
@@ -86,19 +87,18 @@
 	Code  result.Code
 }
 
-// Answer is a complete or partial answer from one snapshot.
-type Answer struct {
+// Answer is a complete or partial answer from one snapshot; Parts are in the order of Covered.
+type Answer[P any] struct {
 	Code     result.Code
 	Snapshot uint64
 	Revision uint64
 	Covered  []string
 	Missing  []Missing
-	Records  []record.Record
-	Matched  int
+	Parts    []P
 }
 
 // Share returns the covered share of the shards, from 0 to 1.
-func (a Answer) Share() float64 {
+func (a Answer[P]) Share() float64 {
 	n := len(a.Covered) + len(a.Missing)
 	if n == 0 {
 		return 0
--- a/gather/outcome.go
+++ b/gather/outcome.go
@@ -7,7 +7,7 @@
 	"pistachioshore.dev/result"
 )
 
-func (s *state) take(now time.Time, p Part) Step {
+func (s *state[P]) take(now time.Time, p Part[P]) Step {
 	var st Step
 	if s.done || p.Shard < 0 || p.Shard >= len(s.shards) {
 		return st
@@ -36,7 +36,7 @@
 	return st
 }
 
-func (s *state) cover(now time.Time, p Part, st *Step) {
+func (s *state[P]) cover(now time.Time, p Part[P], st *Step) {
 	sh := &s.shards[p.Shard]
 	sh.part = &p
 	s.open--
@@ -53,7 +53,7 @@
 	}
 }
 
-func (s *state) retry(now time.Time, p Part, st *Step) {
+func (s *state[P]) retry(now time.Time, p Part[P], st *Step) {
 	sh := &s.shards[p.Shard]
 	if s.mayRetry(now, p) {
 		s.send(now, p.Shard, false, st)
@@ -71,7 +71,7 @@
 
 // canaryFailed moves a canary request that was not run to another shard. After one that may have
 // run, the query waits for leave to go on.
-func (s *state) canaryFailed(now time.Time, p Part, st *Step) {
+func (s *state[P]) canaryFailed(now time.Time, p Part[P], st *Step) {
 	switch {
 	case p.Code == result.Quarantined:
 		s.failAll(p.Code)
@@ -87,11 +87,11 @@
 
 // mayRetry reports whether another attempt is worth its cost. A quarantined fingerprint is
 // refused everywhere, and a canary request that may have harmed an upstream is never repeated here.
-func (s *state) mayRetry(now time.Time, p Part) bool {
-	if p.Code == result.Quarantined || len(s.shards[p.Shard].attempts) >= MaxAttempts {
+func (s *state[P]) mayRetry(now time.Time, p Part[P]) bool {
+	if p.Code == result.Quarantined || len(s.shards[p.Shard].attempts) >= s.plan.MaxAttempts {
 		return false
 	}
-	if s.canary == p.Shard && p.Code.Effect() != result.NotRun {
+	if (s.canary == p.Shard || s.plan.NotIdempotent) && p.Code.Effect() != result.NotRun {
 		return false
 	}
 	typical := s.choose.Typical(s.plan.Shards[p.Shard].Shard.Group)
@@ -106,11 +106,11 @@
 			return true
 		}
 	}
-	return s.budget.AllowRetry()
+	return s.budget.AllowRetry(s.service(p.Shard))
 }
 
 // fail gives a shard up. Its reason says "not run" only if that holds for every attempt.
-func (s *state) fail(i int, code result.Code) {
+func (s *state[P]) fail(i int, code result.Code) {
 	sh := &s.shards[i]
 	if sh.ended() {
 		return
@@ -123,7 +123,7 @@
 }
 
 // failAll ends every shard that is still open.
-func (s *state) failAll(code result.Code) {
+func (s *state[P]) failAll(code result.Code) {
 	for i := range s.shards {
 		s.fail(i, code)
 	}
--- a/gather/query.go
+++ b/gather/query.go
@@ -10,16 +10,16 @@
 )
 
 // Query is the state of one query at the VM that accepted it; it is safe for concurrent use.
-type Query struct {
-	state *table.Guarded[state]
+type Query[P any] struct {
+	state *table.Guarded[state[P]]
 }
 
-type state struct {
+type state[P any] struct {
 	plan    Plan
 	choose  Chooser
 	budget  Budget
 	rand    *rand.Rand
-	shards  []shard
+	shards  []shard[P]
 	open    int // shards without an outcome
 	covered int
 	stale   int  // parts dropped for another snapshot
@@ -29,20 +29,20 @@
 	done    bool
 }
 
-type shard struct {
+type shard[P any] struct {
 	attempts []attempt
-	part     *Part
+	part     *Part[P]
 	failed   result.Code
 	mayRun   result.Code // outcome of an attempt that may have run
 }
 
 // ended reports whether the shard has an outcome.
-func (sh *shard) ended() bool {
+func (sh *shard[P]) ended() bool {
 	return sh.part != nil || sh.failed != 0
 }
 
 // pending reports whether an attempt of the shard is under way.
-func (sh *shard) pending() bool {
+func (sh *shard[P]) pending() bool {
 	return slices.ContainsFunc(sh.attempts, func(a attempt) bool { return a.pending })
 }
 
@@ -53,26 +53,29 @@
 }
 
 // New returns a query that has not sent anything yet.
-func New(plan Plan, choose Chooser, budget Budget, r *rand.Rand) *Query {
-	s := state{plan: plan, choose: choose, budget: budget, rand: r, shards: make([]shard, len(plan.Shards)), canary: -1}
+func New[P any](plan Plan, choose Chooser, budget Budget, r *rand.Rand) *Query[P] {
+	if plan.MaxAttempts == 0 {
+		plan.MaxAttempts = MaxAttempts
+	}
+	s := state[P]{plan: plan, choose: choose, budget: budget, rand: r, shards: make([]shard[P], len(plan.Shards)), canary: -1}
 	s.open = len(plan.Shards)
-	return &Query{state: table.NewGuarded(table.RankGather, s)}
+	return &Query[P]{state: table.NewGuarded(table.RankGather, s)}
 }
 
 // Start returns the first sub-requests: one for each shard, or the canary request alone.
-func (q *Query) Start(now time.Time) Step {
-	return table.Read(q.state, func(s *state) Step { return s.start(now) })
+func (q *Query[P]) Start(now time.Time) Step {
+	return table.Read(q.state, func(s *state[P]) Step { return s.start(now) })
 }
 
 // Part takes the outcome of an attempt.
-func (q *Query) Part(now time.Time, p Part) Step {
-	return table.Read(q.state, func(s *state) Step { return s.take(now, p) })
+func (q *Query[P]) Part(now time.Time, p Part[P]) Step {
+	return table.Read(q.state, func(s *state[P]) Step { return s.take(now, p) })
 }
 
 // Resume goes on after a lost or late canary request: with another canary request, with the full fan-out
 // if the fingerprint has proved good meanwhile, or not at all if refused is a code.
-func (q *Query) Resume(now time.Time, canary bool, refused result.Code) Step {
-	return table.Read(q.state, func(s *state) Step {
+func (q *Query[P]) Resume(now time.Time, canary bool, refused result.Code) Step {
+	return table.Read(q.state, func(s *state[P]) Step {
 		if s.done || !s.asking {
 			return Step{}
 		}
@@ -97,8 +100,8 @@
 }
 
 // Wake sends hedges that are due and ends a query whose time is over.
-func (q *Query) Wake(now time.Time) Step {
-	return table.Read(q.state, func(s *state) Step {
+func (q *Query[P]) Wake(now time.Time) Step {
+	return table.Read(q.state, func(s *state[P]) Step {
 		if s.done {
 			return Step{}
 		}
@@ -109,12 +112,17 @@
 	})
 }
 
+// Stop ends the query without an answer: later parts and wake-ups ask for nothing.
+func (q *Query[P]) Stop() {
+	q.state.With(func(s *state[P]) { s.done = true })
+}
+
 // Answer returns the answer as it stands; it is final once a step was Done.
-func (q *Query) Answer() Answer {
-	return table.Read(q.state, (*state).answer)
+func (q *Query[P]) Answer() Answer[P] {
+	return table.Read(q.state, (*state[P]).answer)
 }
 
 // StaleParts returns how many parts of another snapshot were dropped.
-func (q *Query) StaleParts() int {
-	return table.Read(q.state, func(s *state) int { return s.stale })
+func (q *Query[P]) StaleParts() int {
+	return table.Read(q.state, func(s *state[P]) int { return s.stale })
 }
--- a/gather/script_test.go
+++ b/gather/script_test.go
@@ -17,9 +17,15 @@
 
 var start = time.Date(2026, 12, 1, 8, 0, 0, 0, time.UTC)
 
+// found is the shard result of the scripts.
+type found struct {
+	records []record.Record
+	matched int
+}
+
 // bench is a query with a chooser and a budget that a script controls.
 type bench struct {
-	query   *gather.Query
+	query   *gather.Query[found]
 	queued  map[string]bool
 	hedges  int
 	retries int
@@ -32,14 +38,14 @@
 func (b *bench) Typical(string) time.Duration { return 5 * time.Millisecond }
 
 func (b *bench) Queued(server string) bool { return b.queued[server] }
-func (b *bench) Earn(int)                  {}
+func (b *bench) Earn(string, int)          {}
 
-func (b *bench) AllowHedge() bool {
+func (b *bench) AllowHedge(string) bool {
 	b.hedges--
 	return b.hedges >= 0
 }
 
-func (b *bench) AllowRetry() bool {
+func (b *bench) AllowRetry(string) bool {
 	b.retries--
 	return b.retries >= 0
 }
@@ -80,7 +86,7 @@
 }
 
 func (b *bench) start(t *testing.T, d *datadriven.TestData, now time.Time) string {
-	p := gather.Plan{Snapshot: 7, Revision: 1, Limit: 3}
+	p := gather.Plan{Snapshot: 7, Revision: 1}
 	var deadline, wait, coverage int
 	d.ScanArgs(t, "deadline", &deadline)
 	d.MaybeScanArgs(t, "straggler-wait", &wait)
@@ -99,12 +105,12 @@
 		}
 		p.Shards = append(p.Shards, sp)
 	}
-	b.query = gather.New(p, b, b, rand.New(rand.NewPCG(1, 1)))
+	b.query = gather.New[found](p, b, b, rand.New(rand.NewPCG(1, 1)))
 	return describe(b.query.Start(now))
 }
 
 func (b *bench) part(t *testing.T, d *datadriven.TestData, now time.Time) string {
-	p := gather.Part{Number: 1, Code: result.Complete, Snapshot: 7}
+	p := gather.Part[found]{Number: 1, Code: result.Complete, Snapshot: 7}
 	var code string
 	d.ScanArgs(t, "shard", &p.Shard)
 	d.MaybeScanArgs(t, "attempt", &p.Number)
@@ -114,8 +120,8 @@
 		p.Code = codeOf(code)
 	}
 	for _, key := range strings.Fields(d.Input) {
-		p.Records = append(p.Records, record.Record{Key: key})
-		p.Matched++
+		p.Value.records = append(p.Value.records, record.Record{Key: key})
+		p.Value.matched++
 	}
 	return describe(b.query.Part(now, p))
 }
@@ -163,14 +169,23 @@
 	return out.String()
 }
 
-func describeAnswer(a gather.Answer) string {
+// recordLimit is the number of records that an answer of the scripts holds.
+const recordLimit = 3
+
+func describeAnswer(a gather.Answer[found]) string {
 	var out strings.Builder
-	fmt.Fprintf(&out, "%s snapshot %d matched %d share %.2f\n", a.Code, a.Snapshot, a.Matched, a.Share())
+	var parts [][]record.Record
+	matched := 0
+	for _, p := range a.Parts {
+		parts = append(parts, p.records)
+		matched += p.matched
+	}
+	fmt.Fprintf(&out, "%s snapshot %d matched %d share %.2f\n", a.Code, a.Snapshot, matched, a.Share())
 	fmt.Fprintf(&out, "covered %s\n", strings.Join(a.Covered, " "))
 	for _, m := range a.Missing {
 		fmt.Fprintf(&out, "missing %s: %s\n", m.Shard.Name, m.Code)
 	}
-	for _, r := range a.Records {
+	for _, r := range record.Merge(parts, recordLimit) {
 		fmt.Fprintf(&out, "record %s\n", r.Key)
 	}
 	return out.String()
--- /dev/null
+++ b/replica/replica.go
@@ -0,0 +1,145 @@
+// Package replica keeps what a VM knows of each upstream that it sends requests to directly: whether
+// it may get one, how loaded it is and how it has answered.
+package replica
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"pistachioshore.dev/route"
+	"pistachioshore.dev/table"
+)
+
+// Load is what an upstream last said of itself.
+type Load struct {
+	Running int
+	Waiting int
+	Slots   int
+}
+
+// Ending tells how an attempt at a replica ended.
+type Ending uint8
+
+// The endings.
+const (
+	Answered  Ending = iota + 1 // a good answer
+	Failed                      // an error of the upstream, or an answer that cannot be read
+	Shed                        // refused without being run
+	Lost                        // the connection broke with the request on it
+	Refused                     // no connection could be opened
+	Withdrawn                   // given up by this VM before it ended
+	Misplaced                   // another upstream has the address
+)
+
+// Result is how one attempt ended.
+type Result struct {
+	Ending  Ending
+	Elapsed time.Duration
+	Typical time.Duration // median of the attempt's kind of request, by which Elapsed is judged
+	Load    *Load         // nil if the upstream did not report any
+}
+
+// Settings are what a VM knows of the tier and its own place in it.
+type Settings struct {
+	Zone            string
+	Regions         map[string]string // region of each zone
+	WarmupOvershoot float64           // a cold upstream bears its rate times this
+	WarmupSlack     float64           // and this many requests a second more
+}
+
+// Table holds the replicas of all services; it is safe for concurrent use.
+type Table struct {
+	state *table.Guarded[state]
+}
+
+// New returns a table without replicas.
+func New(s Settings) *Table {
+	return &Table{state: table.NewGuarded(table.RankReplica, state{
+		settings: s,
+		replicas: map[string]*replica{},
+		services: map[string][]*replica{},
+		members:  1,
+	})}
+}
+
+// Put adds a replica or replaces what is known of it. A new lifetime or address starts without history.
+func (t *Table) Put(now time.Time, s route.Server) {
+	t.state.With(func(st *state) { st.put(now, s) })
+}
+
+// Remove takes a replica out of service at the time until, and reports whether it was known.
+func (t *Table) Remove(now time.Time, id string, until time.Time) bool {
+	return table.Read(t.state, func(st *state) bool { return st.remove(now, id, until) })
+}
+
+// Known returns the ids of all replicas.
+func (t *Table) Known() []string {
+	return table.Read(t.state, func(st *state) []string {
+		ids := make([]string, 0, len(st.replicas))
+		for id := range st.replicas {
+			ids = append(ids, id)
+		}
+		return ids
+	})
+}
+
+// Servers returns all replicas that are not about to be removed.
+func (t *Table) Servers(now time.Time) []route.Server {
+	return table.Read(t.state, func(st *state) []route.Server { return st.servers(now) })
+}
+
+// SetEvacuated replaces the zones whose replicas get nothing.
+func (t *Table) SetEvacuated(zones map[string]bool) {
+	t.state.With(func(st *state) { st.evacuated = zones })
+}
+
+// SetMembers sets the number of VMs that share the limits of each upstream, at least 1.
+func (t *Table) SetMembers(n int) {
+	t.state.With(func(st *state) { st.members = max(n, 1) })
+}
+
+// Candidates returns the ids of the service's replicas that may get a request now.
+func (t *Table) Candidates(now time.Time, service string, regions []string) []string {
+	return table.Read(t.state, func(st *state) []string { return st.candidates(now, service, regions) })
+}
+
+// Choose returns the candidate that is expected to answer first; candidates are never empty.
+func (t *Table) Choose(now time.Time, r *rand.Rand, candidates []string) string {
+	return table.Read(t.state, func(st *state) string { return st.choose(now, r, candidates) })
+}
+
+// Start counts an attempt at the replica and returns where to send it. It returns false if the replica
+// may get nothing any more, or is cold and has had its share of requests for now.
+func (t *Table) Start(now time.Time, id string, service route.Service) (Ticket, bool) {
+	return table.Read2(t.state, func(st *state) (Ticket, bool) { return st.start(now, id, service) })
+}
+
+// End takes how an attempt ended; a ticket of an earlier lifetime changes nothing.
+func (t *Table) End(now time.Time, k Ticket, r Result) {
+	t.state.With(func(st *state) { st.end(now, k, r) })
+}
+
+// Stalled reports whether the replica seems to stand still: an attempt at it is overdue by far.
+func (t *Table) Stalled(now time.Time, id string) bool {
+	return table.Read(t.state, func(st *state) bool {
+		r, ok := st.replicas[id]
+		return ok && r.stalled(now)
+	})
+}
+
+// Counts are the numbers of replicas in each condition.
+type Counts struct {
+	Known, Draining, Evacuated, Cold, Ejected int
+}
+
+// Counts returns the numbers of replicas in each condition.
+func (t *Table) Counts(now time.Time) Counts {
+	return table.Read(t.state, func(st *state) Counts { return st.counts(now) })
+}
+
+// Ticket stands for one attempt at one lifetime of a replica.
+type Ticket struct {
+	Server   route.Server
+	lifetime *replica
+	number   uint64
+}
--- /dev/null
+++ b/replica/stat.go
@@ -0,0 +1,156 @@
+package replica
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"pistachioshore.dev/route"
+)
+
+// replica is one lifetime of an upstream.
+type replica struct {
+	server     route.Server
+	coldUntil  time.Time
+	removeAt   time.Time // zero unless its entry has gone
+	misplaced  bool      // another upstream has answered at its address
+	pending    []pending
+	coldStarts []time.Time
+
+	slowness     float64 // observed time in typical times, 1 if nothing is known
+	failureShare float64 // share of recent attempts that failed or were shed
+	observed     time.Time
+	typical      time.Duration
+	load         Load
+	loadedAt     time.Time
+	lost         int // connection failures in a row
+	ejections    int
+	ejectedUntil time.Time
+}
+
+type pending struct {
+	number uint64
+	since  time.Time
+}
+
+func newReplica(now time.Time, s route.Server) *replica {
+	r := &replica{slowness: 1, typical: defaultTypical, observed: now}
+	r.update(now, s)
+	return r
+}
+
+func (r *replica) update(now time.Time, s route.Server) {
+	r.server = s
+	r.removeAt = time.Time{}
+	r.misplaced = false
+	if s.WarmupLeft > 0 {
+		r.coldUntil = now.Add(s.WarmupLeft)
+	}
+}
+
+func (r *replica) removed(now time.Time) bool {
+	return !r.removeAt.IsZero() && !now.Before(r.removeAt)
+}
+
+// oldest returns the age of the attempt that has been pending for longest.
+func (r *replica) oldest(now time.Time) time.Duration {
+	if len(r.pending) == 0 {
+		return 0
+	}
+	return now.Sub(r.pending[0].since)
+}
+
+func (r *replica) stalled(now time.Time) bool {
+	limit := max(time.Duration(stallFactor*r.aged(now, r.slowness, 1)*float64(r.typical)), stallFloor)
+	return r.oldest(now) > limit
+}
+
+// aged returns a value on its way back to rest since the last observation.
+func (r *replica) aged(now time.Time, value, rest float64) float64 {
+	left := math.Exp(-float64(max(now.Sub(r.observed), 0)) / float64(forgetting))
+	return rest + (value-rest)*left
+}
+
+// cost is the expected time of one more request in typical times.
+func (r *replica) cost(now time.Time) float64 {
+	slots := max(r.server.Slots, 1)
+	busy := float64(len(r.pending))
+	if now.Sub(r.loadedAt) < loadAge {
+		busy = max(busy, float64(r.load.Running+r.load.Waiting))
+	}
+	cost := r.aged(now, r.slowness, 1) * (1 + busy/float64(slots))
+	if r.stalled(now) {
+		cost += float64(r.oldest(now)) / float64(r.typical)
+	}
+	cost += r.aged(now, r.failureShare, 0) * failureCost
+	if now.Before(r.ejectedUntil) || !r.removeAt.IsZero() {
+		cost += failureCost
+	}
+	if now.Before(r.coldUntil) {
+		cost *= 1.5
+	}
+	return cost
+}
+
+func (r *replica) end(now time.Time, number uint64, res Result) {
+	r.pending = slices.DeleteFunc(r.pending, func(p pending) bool { return p.number == number })
+	if res.Load != nil {
+		r.load, r.loadedAt = *res.Load, now
+	}
+	if res.Typical > 0 {
+		r.typical = res.Typical
+	}
+	switch res.Ending {
+	case Answered:
+		r.lost, r.ejections = 0, 0
+		r.ejectedUntil = time.Time{}
+		r.observe(now, res, 0)
+	case Withdrawn:
+		r.atLeast(now, res)
+	case Failed, Shed:
+		r.lost = 0
+		r.fail(now)
+	case Lost, Refused:
+		r.fail(now)
+		r.eject(now)
+	case Misplaced:
+		r.misplaced = true
+	}
+}
+
+// weight of one observation against the ones before it.
+const weight = 0.3
+
+func (r *replica) observe(now time.Time, res Result, failed float64) {
+	slow := 1.0
+	if res.Typical > 0 {
+		slow = min(float64(res.Elapsed)/float64(res.Typical), mostSlowness)
+	}
+	r.slowness = r.aged(now, r.slowness, 1)*(1-weight) + slow*weight
+	r.failureShare = r.aged(now, r.failureShare, 0)*(1-weight) + failed*weight
+	r.observed = now
+}
+
+// atLeast takes a time that says only that the replica is no faster.
+func (r *replica) atLeast(now time.Time, res Result) {
+	if res.Typical <= 0 || float64(res.Elapsed)/float64(res.Typical) <= r.aged(now, r.slowness, 1) {
+		return
+	}
+	r.observe(now, res, r.aged(now, r.failureShare, 0))
+}
+
+func (r *replica) fail(now time.Time) {
+	r.failureShare = r.aged(now, r.failureShare, 0)*(1-weight) + weight
+	r.slowness = r.aged(now, r.slowness, 1)
+	r.observed = now
+}
+
+// eject takes the replica out for a growing time after several connection failures in a row.
+func (r *replica) eject(now time.Time) {
+	r.lost++
+	if r.lost < ejectAfter || now.Before(r.ejectedUntil) {
+		return
+	}
+	r.ejectedUntil = now.Add(min(ejectFirst<<min(r.ejections, 5), ejectLongest))
+	r.ejections++
+}
--- /dev/null
+++ b/replica/state.go
@@ -0,0 +1,183 @@
+package replica
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"pistachioshore.dev/route"
+)
+
+type state struct {
+	settings  Settings
+	replicas  map[string]*replica
+	services  map[string][]*replica
+	evacuated map[string]bool
+	members   int
+	number    uint64
+}
+
+func (st *state) put(now time.Time, s route.Server) {
+	old, ok := st.replicas[s.ID]
+	if ok && old.server.Service == s.Service && old.server.Address == s.Address && old.server.Born.Equal(s.Born) {
+		old.update(now, s)
+		return
+	}
+	if ok {
+		st.drop(old)
+	}
+	r := newReplica(now, s)
+	st.replicas[s.ID] = r
+	st.services[s.Service] = append(st.services[s.Service], r)
+}
+
+func (st *state) remove(now time.Time, id string, until time.Time) bool {
+	r, ok := st.replicas[id]
+	if !ok {
+		return false
+	}
+	if !until.After(now) {
+		st.drop(r)
+		return true
+	}
+	if r.removeAt.IsZero() {
+		r.removeAt = until
+	}
+	return true
+}
+
+func (st *state) drop(r *replica) {
+	delete(st.replicas, r.server.ID)
+	list := st.services[r.server.Service]
+	st.services[r.server.Service] = slices.DeleteFunc(list, func(o *replica) bool { return o == r })
+	if len(st.services[r.server.Service]) == 0 {
+		delete(st.services, r.server.Service)
+	}
+}
+
+// expire drops the replicas of the service whose removal is due.
+func (st *state) expire(now time.Time, service string) {
+	for _, r := range slices.Clone(st.services[service]) {
+		if r.removed(now) {
+			st.drop(r)
+		}
+	}
+}
+
+func (st *state) servers(now time.Time) []route.Server {
+	list := make([]route.Server, 0, len(st.replicas))
+	for _, r := range st.replicas {
+		if r.removeAt.IsZero() {
+			s := r.server
+			s.WarmupLeft = max(r.coldUntil.Sub(now), 0)
+			list = append(list, s)
+		}
+	}
+	return list
+}
+
+// open reports whether the replica may get requests at all.
+func (st *state) open(now time.Time, r *replica, regions []string) bool {
+	if r.server.Draining || r.misplaced || r.removed(now) || st.evacuated[r.server.Zone] {
+		return false
+	}
+	return len(regions) == 0 || slices.Contains(regions, st.settings.Regions[r.server.Zone])
+}
+
+// candidates returns the replicas that may get requests, without the ejected ones unless there are no others.
+func (st *state) candidates(now time.Time, service string, regions []string) []string {
+	st.expire(now, service)
+	var sound, ejected []string
+	for _, r := range st.services[service] {
+		switch {
+		case !st.open(now, r, regions):
+		case now.Before(r.ejectedUntil):
+			ejected = append(ejected, r.server.ID)
+		default:
+			sound = append(sound, r.server.ID)
+		}
+	}
+	if len(sound) == 0 {
+		return ejected
+	}
+	return sound
+}
+
+func (st *state) choose(now time.Time, r *rand.Rand, candidates []string) string {
+	best, least := "", 0.0
+	first := r.IntN(len(candidates))
+	for i := range candidates {
+		id := candidates[(first+i)%len(candidates)]
+		cost := st.cost(now, id)
+		if best == "" || cost < least {
+			best, least = id, cost
+		}
+	}
+	return best
+}
+
+// unusable is the cost of a replica that is gone or may get nothing.
+const unusable = 1e9
+
+func (st *state) cost(now time.Time, id string) float64 {
+	r, ok := st.replicas[id]
+	if !ok || !st.open(now, r, nil) {
+		return unusable
+	}
+	cost := r.cost(now)
+	if r.server.Zone == st.settings.Zone {
+		cost *= homeBonus
+	}
+	return cost
+}
+
+func (st *state) start(now time.Time, id string, service route.Service) (Ticket, bool) {
+	r, ok := st.replicas[id]
+	if !ok || !st.open(now, r, nil) || !st.warmEnough(now, r, service) {
+		return Ticket{}, false
+	}
+	st.number++
+	r.pending = append(r.pending, pending{st.number, now})
+	return Ticket{Server: r.server, lifetime: r, number: st.number}, true
+}
+
+// warmEnough reports whether a cold replica may get one more request from this VM, and counts it.
+func (st *state) warmEnough(now time.Time, r *replica, service route.Service) bool {
+	if service.WarmupRate <= 0 || !now.Before(r.coldUntil) {
+		return true
+	}
+	total := service.WarmupRate*st.settings.WarmupOvershoot + st.settings.WarmupSlack
+	share := int(total) / st.members
+	r.coldStarts = slices.DeleteFunc(r.coldStarts, func(at time.Time) bool { return now.Sub(at) > coldWindow })
+	if len(r.coldStarts) >= share {
+		return false
+	}
+	r.coldStarts = append(r.coldStarts, now)
+	return true
+}
+
+func (st *state) end(now time.Time, k Ticket, res Result) {
+	if k.lifetime == nil {
+		return
+	}
+	k.lifetime.end(now, k.number, res)
+}
+
+func (st *state) counts(now time.Time) Counts {
+	c := Counts{Known: len(st.replicas)}
+	for _, r := range st.replicas {
+		if r.server.Draining {
+			c.Draining++
+		}
+		if st.evacuated[r.server.Zone] {
+			c.Evacuated++
+		}
+		if now.Before(r.coldUntil) {
+			c.Cold++
+		}
+		if now.Before(r.ejectedUntil) {
+			c.Ejected++
+		}
+	}
+	return c
+}
--- a/shutdown/machine.go
+++ b/shutdown/machine.go
@@ -7,7 +7,7 @@
 )
 
 // Machine goes through the phases of one shutdown; it is safe for concurrent use. Each action is
-// returned once. The last one is Exit, at most 8 s after the start if the VM looks when told to.
+// returned once. The last one is Exit, at most Settings.Grace after the start if the VM looks when told to.
 type Machine struct {
 	state *table.Guarded[state]
 }
@@ -16,12 +16,17 @@
 	phase   Phase
 	started time.Time
 	lag     time.Duration
+	grace   time.Duration
 }
 
 // New returns a machine in the phase Serving.
 func New(s Settings) *Machine {
 	lag := min(max(s.BalancerLag, 0), MaxBalancerLag)
-	return &Machine{state: table.NewGuarded(table.RankShutdown, state{lag: lag})}
+	grace := MaxGrace
+	if s.Grace > 0 {
+		grace = min(max(s.Grace, minGrace), MaxGrace)
+	}
+	return &Machine{state: table.NewGuarded(table.RankShutdown, state{lag: lag, grace: grace})}
 }
 
 // Start begins the shutdown; a second call does nothing.
@@ -78,13 +83,13 @@
 	case Announcing:
 		return s.started.Add(s.lag)
 	case HandingOver:
-		return s.started.Add(s.lag + handOverFor)
+		return s.started.Add(min(s.lag+handOverFor, s.grace-drainBefore))
 	case Draining:
-		return s.started.Add(drainBound)
+		return s.started.Add(s.grace - drainBefore)
 	case Ending:
-		return s.started.Add(endBound)
+		return s.started.Add(s.grace - endBefore)
 	default:
-		return s.started.Add(exitBound)
+		return s.started.Add(s.grace)
 	}
 }
 
--- a/shutdown/options.go
+++ b/shutdown/options.go
@@ -5,6 +5,7 @@
 // Settings are the settings of a shutdown.
 type Settings struct {
 	BalancerLag time.Duration // time for which the platform's load balancer may still send requests, at most 2 s
+	Grace       time.Duration // time in which the process has to end, 5 to 8 s; 0 for 8 s
 }
 
 // Defaults returns the usual settings.
@@ -19,10 +20,13 @@
 	// handOverFor covers the longest attempt deadline (2.5 s) and the handover message.
 	handOverFor = 3 * time.Second
 
-	// The later bounds count from the start, so that time that one phase leaves goes to the next.
-	drainBound = 7000 * time.Millisecond
-	endBound   = 7300 * time.Millisecond // answers that were ended are on their way by then
-	exitBound  = 8000 * time.Millisecond
+	// MaxGrace and minGrace bound the whole shutdown.
+	MaxGrace = 8 * time.Second
+	minGrace = 5 * time.Second
+
+	// The later bounds count back from the end, so that time that one phase leaves goes to the next.
+	drainBefore = 1000 * time.Millisecond
+	endBefore   = 700 * time.Millisecond // answers that were ended are on their way by then
 
 	// lookEvery is the longest time between two looks at the inputs.
 	lookEvery = 50 * time.Millisecond
--- a/table/table.go
+++ b/table/table.go
@@ -16,6 +16,7 @@
 	RankGather     Rank = 55
 	RankBudget     Rank = 60
 	RankBalancer   Rank = 70
+	RankReplica    Rank = 75
 	RankPending    Rank = 85
 	RankShutdown   Rank = 90
 )
@@ -44,6 +45,13 @@
 	fn(&g.value)
 }
 
+// Read2 returns the two results that fn computes from the value while the lock is held.
+func Read2[T, A, B any](g *Guarded[T], fn func(v *T) (A, B)) (A, B) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return fn(&g.value)
+}
+
 // Read returns what fn computes from the value while the lock is held.
 func Read[T, R any](g *Guarded[T], fn func(v *T) R) R {
 	g.mu.Lock()
--- /dev/null
+++ b/transport/http1/http1.go
@@ -0,0 +1,111 @@
+// Package http1 exchanges HTTP/1.1 requests with upstreams over kept connections.
+//
+// Unlike http.Transport it never sends a request a second time, adds no headers, skips answers that
+// belong to another request, and tells whether a request that failed can have reached the upstream.
+package http1
+
+import (
+	"net/http"
+	"net/netip"
+	"time"
+)
+
+// Header is one header line.
+type Header struct {
+	Name  string
+	Value string
+}
+
+// Call is one request.
+type Call struct {
+	Method string
+	Target string // path and query as they stand on the request line
+	Host   string
+	Header []Header
+	Body   []byte
+	// Mine tells whether an answer with the given header belongs to this call; nil accepts every answer.
+	Mine func(h http.Header) bool
+}
+
+// Response is a whole answer.
+type Response struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Failure tells why a call has no response, and whether it can have run.
+type Failure uint8
+
+// The failures. After Busy, Unreachable and TimedOut nothing of the call has left this VM.
+const (
+	None        Failure = iota
+	Busy                // all connections that may be opened to the upstream are in use
+	Unreachable         // the connection was refused or reset before it was used
+	TimedOut            // the connection could not be opened in time
+	Lost                // the connection ended before the whole answer was in
+	Garbled             // the answer is not HTTP, or larger than allowed
+	Silent              // no answer came before the exchange was given up
+)
+
+var failureNames = [...]string{"none", "busy", "unreachable", "timed-out", "lost", "garbled", "silent"}
+
+// String returns the failure's name.
+func (f Failure) String() string {
+	if int(f) >= len(failureNames) {
+		return "unknown"
+	}
+	return failureNames[f]
+}
+
+// Sent reports whether the upstream can have received the call.
+func (f Failure) Sent() bool {
+	return f == None || f >= Lost
+}
+
+// Done takes the end of an exchange; it must not block. It is called once unless the exchange is
+// abandoned or closed before its end.
+type Done func(r Response, f Failure)
+
+// Client starts exchanges.
+type Client interface {
+	// Start sends the call over an idle connection, or a new one if fewer than limit are open.
+	Start(address netip.AddrPort, limit int, call *Call, done Done) *Exchange
+}
+
+// Counts are totals since the start of a pool.
+type Counts struct {
+	Dialed    uint64 // connections opened or tried
+	Reused    uint64 // exchanges over a connection that was open
+	Unasked   uint64 // connections closed for bytes that nobody asked for
+	Skipped   uint64 // answers of other requests that were skipped
+	Abandoned uint64 // exchanges whose answer nobody waits for any more
+	Open      int    // connections open now
+}
+
+const (
+	// dialTimeout bounds the opening of a connection: a packet that is lost is sent again after 1 s, and
+	// waiting for that helps no caller.
+	dialTimeout = 900 * time.Millisecond
+
+	// probeEvery and probeCount set the keep-alive probes by which a silent connection is noticed
+	// within 4 s.
+	probeEvery = time.Second
+	probeCount = 3
+
+	// idleMargin is kept from the idle time that the upstream allows, for the way of the next request.
+	idleMargin = 500 * time.Millisecond
+
+	// readSize holds most answers, so that one read takes them in.
+	readSize = 4 << 10
+
+	// maxBody bounds the body of an answer in bytes.
+	maxBody = 8 << 20
+
+	// inlineBody is the largest body in bytes that is written by the caller of Start; a longer one could
+	// block it while the upstream does not read.
+	inlineBody = 8 << 10
+
+	// openers is the number of connections that are opened at once.
+	openers = 64
+)
--- /dev/null
+++ b/transport/http1/pool.go
@@ -0,0 +1,220 @@
+package http1
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"pistachioshore.dev/pool"
+	"pistachioshore.dev/transport"
+)
+
+// Pool keeps connections to upstreams; it is safe for concurrent use.
+type Pool struct {
+	dial    transport.Dial
+	openers *pool.Pool[func()]
+
+	mu     sync.Mutex
+	hosts  map[netip.AddrPort]*host
+	counts Counts
+	closed bool
+}
+
+// host holds the connections to one upstream.
+type host struct {
+	idle []*conn // most recently used last
+	open int     // idle, in use and being opened
+}
+
+var _ Client = (*Pool)(nil)
+
+// New returns a pool without connections; a nil dial opens TCP connections with keep-alive probes.
+func New(dial transport.Dial) *Pool {
+	if dial == nil {
+		probes := net.KeepAliveConfig{Enable: true, Idle: probeEvery, Interval: probeEvery, Count: probeCount}
+		dial = (&net.Dialer{KeepAliveConfig: probes}).DialContext
+	}
+	p := &Pool{dial: dial, hosts: map[netip.AddrPort]*host{}}
+	p.openers = pool.New(openers, func(open func()) { open() })
+	return p
+}
+
+// Start sends the call over an idle connection, or a new one if fewer than limit are open.
+func (p *Pool) Start(address netip.AddrPort, limit int, call *Call, done Done) *Exchange {
+	e := &Exchange{pool: p, call: call, done: done}
+	c, ok := p.take(address, limit, time.Now())
+	switch {
+	case c != nil:
+		p.write(c, e)
+	case !ok:
+		e.finish(Response{}, Busy)
+	case !p.openers.Submit(func() { p.open(address, e) }):
+		p.release(address)
+		e.finish(Response{}, Unreachable)
+	}
+	return e
+}
+
+// Counts returns the totals of the pool.
+func (p *Pool) Counts() Counts {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c := p.counts
+	for _, h := range p.hosts {
+		c.Open += h.open
+	}
+	return c
+}
+
+// Forget closes the idle connections to an upstream that has gone.
+func (p *Pool) Forget(address netip.AddrPort) {
+	p.mu.Lock()
+	h := p.hosts[address]
+	var idle []*conn
+	if h != nil {
+		idle, h.idle = h.idle, nil
+	}
+	p.mu.Unlock()
+	for _, c := range idle {
+		c.close()
+	}
+}
+
+// Close ends all idle connections and refuses new exchanges.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	p.closed = true
+	var addresses []netip.AddrPort
+	for a := range p.hosts {
+		addresses = append(addresses, a)
+	}
+	p.mu.Unlock()
+	for _, a := range addresses {
+		p.Forget(a)
+	}
+	p.openers.Stop()
+}
+
+// take returns an idle connection, or nil and whether a new one may be opened, which it counts as open.
+func (p *Pool) take(address netip.AddrPort, limit int, now time.Time) (*conn, bool) {
+	p.mu.Lock()
+	var stale []*conn
+	defer func() {
+		p.mu.Unlock()
+		for _, c := range stale {
+			c.close()
+		}
+	}()
+	h := p.hosts[address]
+	if h == nil {
+		h = &host{}
+		p.hosts[address] = h
+	}
+	for len(h.idle) > 0 {
+		c := h.idle[len(h.idle)-1]
+		h.idle = h.idle[:len(h.idle)-1]
+		if c.usable(now) {
+			p.counts.Reused++
+			return c, true
+		}
+		stale = append(stale, c)
+	}
+	if p.closed || h.open-len(stale) >= limit {
+		return nil, false
+	}
+	h.open++
+	p.counts.Dialed++
+	return nil, true
+}
+
+// release notes that a connection has ended or was never opened.
+func (p *Pool) release(address netip.AddrPort) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.hosts[address]
+	if h == nil {
+		return
+	}
+	h.open--
+	if h.open <= 0 && len(h.idle) == 0 {
+		delete(p.hosts, address)
+	}
+}
+
+// park keeps a connection for the next exchange.
+func (p *Pool) park(c *conn) {
+	p.mu.Lock()
+	h := p.hosts[c.address]
+	keep := h != nil && !p.closed
+	if keep {
+		c.idleSince = time.Now()
+		h.idle = append(h.idle, c)
+	}
+	p.mu.Unlock()
+	if !keep {
+		c.close()
+	}
+}
+
+// discard takes a closed connection out of the idle ones.
+func (p *Pool) discard(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.hosts[c.address]
+	if h == nil {
+		return
+	}
+	for i, other := range h.idle {
+		if other == c {
+			h.idle = append(h.idle[:i], h.idle[i+1:]...)
+			return
+		}
+	}
+}
+
+// open opens a connection for the exchange and sends it.
+func (p *Pool) open(address netip.AddrPort, e *Exchange) {
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	nc, err := p.dial(ctx, "tcp", address.String())
+	if err != nil {
+		p.release(address)
+		if ctx.Err() != nil {
+			e.finish(Response{}, TimedOut)
+		} else {
+			e.finish(Response{}, Unreachable)
+		}
+		return
+	}
+	c := newConn(p, address, nc)
+	go c.read()
+	if e.ended() {
+		p.park(c)
+		return
+	}
+	p.write(c, e)
+}
+
+// write sends the exchange over the connection, a long one from a worker of its own.
+func (p *Pool) write(c *conn, e *Exchange) {
+	if !e.attach(c) {
+		p.park(c)
+		return
+	}
+	if len(e.call.Body) <= inlineBody {
+		c.send(e)
+		return
+	}
+	if !p.openers.Submit(func() { c.send(e) }) {
+		c.fail(Lost)
+	}
+}
+
+// count changes the totals.
+func (p *Pool) count(change func(c *Counts)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	change(&p.counts)
+}
