--- a/forward/forward.go
+++ b/forward/forward.go
@@ -45,6 +45,7 @@
 	Ending   replica.Ending
 	Response *Response
 	Load     *replica.Load
+	Detail   string // what happened on the connection, for the log
 }
 
 // Attempt is a request on its way to one upstream.
--- a/forward/query.go
+++ b/forward/query.go
@@ -253,7 +253,7 @@
 	q.vm.stats.attemptFailed(reply.Code)
 	q.vm.events.Record(event.Attempt, event.F(event.Request, q.req.ID), event.F(event.Service, q.shards[a.Shard].Service),
 		event.F(event.Server, a.Server), event.F(event.Number, a.Number), event.F(event.Code, reply.Code),
-		event.F(event.Status, status), event.F(event.Elapsed, elapsed))
+		event.F(event.Status, status), event.F(event.Reason, reply.Detail), event.F(event.Elapsed, elapsed))
 }
 
 // abandon gives up an attempt that another one of its shard has beaten.
--- a/transport/http1/http1.go
+++ b/transport/http1/http1.go
@@ -40,7 +40,7 @@
 // The failures. After Busy, Unreachable and TimedOut nothing of the call has left this VM.
 const (
 	None        Failure = iota
-	Busy                // all connections that may be opened to the upstream are in use
+	Busy                // all connections that may be opened to the upstream are in use, and too many calls wait
 	Unreachable         // the connection was refused or reset before it was used
 	TimedOut            // the connection could not be opened in time
 	Lost                // the connection ended before the whole answer was in
@@ -69,7 +69,8 @@
 
 // Client starts exchanges.
 type Client interface {
-	// Start sends the call over an idle connection, or a new one if fewer than limit are open.
+	// Start sends the call over an idle connection, or a new one if fewer than limit are open; otherwise
+	// the call waits for a connection.
 	Start(address netip.AddrPort, limit int, call *Call, done Done) *Exchange
 }
 
@@ -79,6 +80,7 @@
 	Reused    uint64 // exchanges over a connection that was open
 	Unasked   uint64 // connections closed for bytes that nobody asked for
 	Skipped   uint64 // answers of other requests that were skipped
+	Waited    uint64 // exchanges that waited for a connection
 	Abandoned uint64 // exchanges whose answer nobody waits for any more
 	Open      int    // connections open now
 }
@@ -106,6 +108,9 @@
 	// block it while the upstream does not read.
 	inlineBody = 8 << 10
 
+	// mostWaiting bounds the calls that wait for a connection to one upstream.
+	mostWaiting = 64
+
 	// openers is the number of connections that are opened at once.
 	openers = 64
 )
--- a/transport/http1/pool.go
+++ b/transport/http1/pool.go
@@ -24,8 +24,22 @@
 
 // host holds the connections to one upstream.
 type host struct {
-	idle []*conn // most recently used last
-	open int     // idle, in use and being opened
+	idle    []*conn // most recently used last
+	open    int     // idle, in use and being opened
+	limit   int     // of open, as last given to Start
+	waiting []*Exchange
+}
+
+// next takes the first exchange off the queue that somebody still waits for.
+func (h *host) next() *Exchange {
+	for len(h.waiting) > 0 {
+		e := h.waiting[0]
+		h.waiting = h.waiting[1:]
+		if !e.ended() {
+			return e
+		}
+	}
+	return nil
 }
 
 var _ Client = (*Pool)(nil)
@@ -41,20 +55,28 @@
 	return p
 }
 
-// Start sends the call over an idle connection, or a new one if fewer than limit are open.
+// Start sends the call over an idle connection, or a new one if fewer than limit are open; otherwise
+// the call waits for a connection.
 func (p *Pool) Start(address netip.AddrPort, limit int, call *Call, done Done) *Exchange {
 	e := &Exchange{pool: p, call: call, done: done}
-	c, ok := p.take(address, limit, time.Now())
-	switch {
-	case c != nil:
+	c, how := p.take(address, limit, e, time.Now())
+	switch how {
+	case reuse:
 		p.write(c, e)
-	case !ok:
+	case dial:
+		p.submitOpen(address, e)
+	case refuse:
 		e.finish(Response{}, Busy)
-	case !p.openers.Submit(func() { p.open(address, e) }):
+	}
+	return e
+}
+
+// submitOpen has a worker open a connection that is counted as open.
+func (p *Pool) submitOpen(address netip.AddrPort, e *Exchange) {
+	if !p.openers.Submit(func() { p.open(address, e) }) {
 		p.release(address)
 		e.finish(Response{}, Unreachable)
 	}
-	return e
 }
 
 // Counts returns the totals of the pool.
@@ -97,8 +119,18 @@
 	p.openers.Stop()
 }
 
-// take returns an idle connection, or nil and whether a new one may be opened, which it counts as open.
-func (p *Pool) take(address netip.AddrPort, limit int, now time.Time) (*conn, bool) {
+// way is how an exchange gets its connection.
+type way uint8
+
+const (
+	reuse  way = iota + 1 // over an idle one
+	dial                  // over a new one, which is counted as open
+	wait                  // over the next one that is free
+	refuse                // not at all
+)
+
+// take decides how the exchange gets its connection, and returns an idle one to reuse.
+func (p *Pool) take(address netip.AddrPort, limit int, e *Exchange, now time.Time) (*conn, way) {
 	p.mu.Lock()
 	var stale []*conn
 	defer func() {
@@ -117,44 +149,69 @@
 		h.idle = h.idle[:len(h.idle)-1]
 		if c.usable(now) {
 			p.counts.Reused++
-			return c, true
+			return c, reuse
 		}
 		stale = append(stale, c)
 	}
-	if p.closed || h.open-len(stale) >= limit {
-		return nil, false
+	h.limit = limit
+	switch {
+	case p.closed:
+		return nil, refuse
+	case h.open-len(stale) < limit:
+		h.open++
+		p.counts.Dialed++
+		return nil, dial
+	case len(h.waiting) < mostWaiting:
+		h.waiting = append(h.waiting, e)
+		p.counts.Waited++
+		return nil, wait
+	default:
+		return nil, refuse
 	}
-	h.open++
-	p.counts.Dialed++
-	return nil, true
 }
 
 // release notes that a connection has ended or was never opened.
 func (p *Pool) release(address netip.AddrPort) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	h := p.hosts[address]
-	if h == nil {
-		return
+	var e *Exchange
+	if h != nil {
+		h.open--
+		if h.open < h.limit && !p.closed {
+			e = h.next()
+		}
+		switch {
+		case e != nil:
+			h.open++
+			p.counts.Dialed++
+		case h.open <= 0 && len(h.idle) == 0:
+			delete(p.hosts, address)
+		}
 	}
-	h.open--
-	if h.open <= 0 && len(h.idle) == 0 {
-		delete(p.hosts, address)
+	p.mu.Unlock()
+	if e != nil {
+		p.submitOpen(address, e)
 	}
 }
 
-// park keeps a connection for the next exchange.
+// park gives a free connection to the next exchange that waits for one, or keeps it.
 func (p *Pool) park(c *conn) {
 	p.mu.Lock()
 	h := p.hosts[c.address]
 	keep := h != nil && !p.closed
+	var e *Exchange
 	if keep {
-		c.idleSince = time.Now()
-		h.idle = append(h.idle, c)
+		if e = h.next(); e == nil {
+			c.idleSince = time.Now()
+			h.idle = append(h.idle, c)
+		}
 	}
 	p.mu.Unlock()
-	if !keep {
+	switch {
+	case !keep:
 		c.close()
+	case e != nil:
+		p.write(c, e)
 	}
 }
 
