--- a/event/event.go
+++ b/event/event.go
@@ -25,6 +25,7 @@
 	ConfigAccepted
 	ConfigRejected
 	ZoneEvacuated
+	Isolated      // other zones cannot be reached, so that a route cannot be served
 	ServerChanged // an upstream was added, changed, began to drain or went
 	EntryRejected // an entry of the platform's store could not be used
 	StoreLost
@@ -41,7 +42,7 @@
 var kindNames = [kinds]string{
 	"none", "refused", "failed", "partial", "attempt", "hedged", "abandoned", "answered",
 	"started", "stopping", "stopped", "reloaded", "ready", "not-ready", "config-accepted", "config-rejected",
-	"zone-evacuated", "server-changed", "entry-rejected", "store-lost", "store-regained", "peer-lost", "peer-found",
+	"zone-evacuated", "isolated", "server-changed", "entry-rejected", "store-lost", "store-regained", "peer-lost", "peer-found",
 	"paused", "dropped", "problem",
 }
 
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -70,6 +70,8 @@
 type Sender interface {
 	// Send starts an attempt; done is called once unless the attempt is abandoned or closed, and must not block.
 	Send(a Attempt, done func(Reply)) Pending
+	// Check asks an upstream for its health; done is told whether any answer came.
+	Check(s route.Server, path string, done func(answered bool))
 }
 
 // Answer is what a client gets. Code tells which of the other fields are set.
--- /dev/null
+++ b/forward/isolation.go
@@ -0,0 +1,103 @@
+package forward
+
+import (
+	"time"
+
+	"pistachioshore.dev/event"
+	"pistachioshore.dev/route"
+)
+
+// checkEvery is the time between two health checks in a zone that is cut off.
+const checkEvery = 500 * time.Millisecond
+
+// Isolated reports whether a route cannot be served from this VM because other zones are cut off from
+// it. Such a VM leaves the load balancer's rotation, so that clients reach a zone that can serve them.
+func (vm *VM) Isolated(now time.Time) bool {
+	cut := vm.replicas.CutZones(now)
+	cfg := vm.routes.InForce()
+	isolated := false
+	if len(cut) > 0 && cfg != nil {
+		for i := range cfg.Routes {
+			if !vm.serviceable(now, &cfg.Routes[i]) && vm.known(&cfg.Routes[i]) {
+				isolated = true
+				break
+			}
+		}
+	}
+	vm.noteIsolation(isolated, cut)
+	return isolated
+}
+
+// serviceable reports whether enough services of the route have an upstream that may be used.
+func (vm *VM) serviceable(now time.Time, r *route.Route) bool {
+	if !r.Sharded() {
+		for _, t := range r.Targets {
+			if len(vm.replicas.Candidates(now, t.Service, r.Regions, false)) > 0 {
+				return true
+			}
+		}
+		return false
+	}
+	reachable := 0
+	for _, s := range r.Shards {
+		if len(vm.replicas.Candidates(now, s, r.Regions, false)) > 0 {
+			reachable++
+		}
+	}
+	return float64(reachable) >= r.MinCoverage*float64(len(r.Shards))
+}
+
+// known reports whether the route's services have upstreams at all, wherever they are.
+func (vm *VM) known(r *route.Route) bool {
+	for _, s := range r.Shards {
+		if !vm.replicas.Has(s) {
+			return false
+		}
+	}
+	for _, t := range r.Targets {
+		if !vm.replicas.Has(t.Service) {
+			return false
+		}
+	}
+	return true
+}
+
+// noteIsolation records a change and checks the zones that are cut off.
+func (vm *VM) noteIsolation(isolated bool, cut []string) {
+	now := time.Now()
+	changed, check := false, false
+	vm.load.With(func(l *inFlight) {
+		changed = l.isolated != isolated
+		l.isolated = isolated
+		check = len(cut) > 0 && now.Sub(l.checked) >= checkEvery
+		if check {
+			l.checked = now
+		}
+	})
+	if changed {
+		vm.events.Record(event.Isolated, event.F(event.State, isolated), event.F(event.Count, len(cut)))
+	}
+	if !check {
+		return
+	}
+	for _, zone := range cut {
+		vm.check(now, zone)
+	}
+}
+
+// check asks one upstream of a zone for its health.
+func (vm *VM) check(now time.Time, zone string) {
+	k, ok := vm.replicas.Probe(now, zone)
+	if !ok {
+		return
+	}
+	path := "/"
+	if cfg := vm.routes.InForce(); cfg != nil && cfg.Services[k.Server.Service].HealthPath != "" {
+		path = cfg.Services[k.Server.Service].HealthPath
+	}
+	vm.sender.Check(k.Server, path, func(answered bool) {
+		if answered {
+			vm.replicas.Heard(zone)
+		}
+	})
+}
--- a/forward/query.go
+++ b/forward/query.go
@@ -112,7 +112,7 @@
 func (q *query) shardPlan(now time.Time, service string) gather.ShardPlan {
 	return gather.ShardPlan{
 		Shard:    catalog.Shard{Name: service, Group: q.route.Name, Service: service},
-		Replicas: q.vm.replicas.Candidates(now, service, q.route.Regions),
+		Replicas: q.vm.replicas.Candidates(now, service, q.route.Regions, q.route.Idempotent),
 		Refused:  result.Unreachable,
 	}
 }
--- a/forward/vm.go
+++ b/forward/vm.go
@@ -36,6 +36,8 @@
 	requests int
 	members  int
 	refusing bool
+	isolated bool
+	checked  time.Time // when zones that are cut off were last checked
 }
 
 var _ Server = (*VM)(nil)
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -58,6 +58,7 @@
 		settings: s,
 		replicas: map[string]*replica{},
 		services: map[string][]*replica{},
+		zones:    map[string]*contact{},
 		members:  1,
 	})}
 }
@@ -83,6 +84,11 @@
 	})
 }
 
+// Has reports whether the service has any replica.
+func (t *Table) Has(service string) bool {
+	return table.Read(t.state, func(st *state) bool { return len(st.services[service]) > 0 })
+}
+
 // Servers returns all replicas that are not about to be removed.
 func (t *Table) Servers(now time.Time) []route.Server {
 	return table.Read(t.state, func(st *state) []route.Server { return st.servers(now) })
@@ -98,9 +104,18 @@
 	t.state.With(func(st *state) { st.members = max(n, 1) })
 }
 
-// Candidates returns the ids of the service's replicas that may get a request now.
-func (t *Table) Candidates(now time.Time, service string, regions []string) []string {
-	return table.Read(t.state, func(st *state) []string { return st.candidates(now, service, regions) })
+// Candidates returns the ids of the service's replicas that may get a request now. Replicas in zones that
+// are cut off are among them only for an idempotent request that has others to go to.
+func (t *Table) Candidates(now time.Time, service string, regions []string, idempotent bool) []string {
+	return table.Read(t.state, func(st *state) []string { return st.candidates(now, service, regions, idempotent) })
+}
+
+// Alive reports whether the replica has answered within the given time.
+func (t *Table) Alive(now time.Time, id string, within time.Duration) bool {
+	return table.Read(t.state, func(st *state) bool {
+		r, ok := st.replicas[id]
+		return ok && !r.answered.IsZero() && now.Sub(r.answered) <= within
+	})
 }
 
 // Choose returns the candidate that is expected to answer first; candidates are never empty.
--- a/replica/stat.go
+++ b/replica/stat.go
@@ -20,6 +20,7 @@
 	slowness     float64 // observed time in typical times, 1 if nothing is known
 	failureShare float64 // share of recent attempts that failed or were shed
 	observed     time.Time
+	answered     time.Time // last good answer
 	typical      time.Duration
 	load         Load
 	loadedAt     time.Time
@@ -103,6 +104,7 @@
 	switch res.Ending {
 	case Answered:
 		r.lost, r.ejections = 0, 0
+		r.answered = now
 		r.ejectedUntil = time.Time{}
 		r.observe(now, res, 0)
 	case Withdrawn:
--- a/replica/state.go
+++ b/replica/state.go
@@ -12,6 +12,7 @@
 	settings  Settings
 	replicas  map[string]*replica
 	services  map[string][]*replica
+	zones     map[string]*contact
 	evacuated map[string]bool
 	members   int
 	number    uint64
@@ -85,12 +86,14 @@
 }
 
 // candidates returns the replicas that may get requests, without the ejected ones unless there are no others.
-func (st *state) candidates(now time.Time, service string, regions []string) []string {
+func (st *state) candidates(now time.Time, service string, regions []string, idempotent bool) []string {
 	st.expire(now, service)
-	var sound, ejected []string
+	var sound, ejected, cut []string
 	for _, r := range st.services[service] {
 		switch {
 		case !st.open(now, r, regions):
+		case st.cut(now, r.server.Zone):
+			cut = append(cut, r.server.ID)
 		case now.Before(r.ejectedUntil):
 			ejected = append(ejected, r.server.ID)
 		default:
@@ -100,10 +103,16 @@
 	if len(sound) == 0 {
 		return ejected
 	}
+	if idempotent {
+		return append(sound, cut...)
+	}
 	return sound
 }
 
 func (st *state) choose(now time.Time, r *rand.Rand, candidates []string) string {
+	if id, ok := st.probe(now, candidates); ok {
+		return id
+	}
 	best, least := "", 0.0
 	first := r.IntN(len(candidates))
 	for i := range candidates {
@@ -128,6 +137,9 @@
 	if r.server.Zone == st.settings.Zone {
 		cost *= homeBonus
 	}
+	if st.cut(now, r.server.Zone) {
+		cost += cutCost
+	}
 	return cost
 }
 
@@ -136,6 +148,7 @@
 	if !ok || !st.open(now, r, nil) || !st.warmEnough(now, r, service) {
 		return Ticket{}, false
 	}
+	st.zone(r.server.Zone).started(now)
 	st.number++
 	r.pending = append(r.pending, pending{st.number, now})
 	return Ticket{Server: r.server, lifetime: r, number: st.number}, true
@@ -161,6 +174,10 @@
 		return
 	}
 	k.lifetime.end(now, k.number, res)
+	switch res.Ending {
+	case Answered, Failed, Shed, Misplaced:
+		st.zone(k.Server.Zone).heard()
+	}
 }
 
 func (st *state) counts(now time.Time) Counts {
