--- a/event/event.go
+++ b/event/event.go
@@ -25,9 +25,10 @@
 	ConfigAccepted
 	ConfigRejected
 	ZoneEvacuated
-	Isolated      // other zones cannot be reached, so that a route cannot be served
-	ServerChanged // an upstream was added, changed, began to drain or went
-	EntryRejected // an entry of the platform's store could not be used
+	Isolated       // other zones cannot be reached, so that a route cannot be served
+	ServerChanged  // an upstream was added, changed, began to drain or went
+	EntryRejected  // an entry of the platform's store could not be used
+	CrashSuspected // an upstream crashed while it ran a request
 	StoreLost
 	StoreRegained
 	PeerLost
@@ -42,7 +43,7 @@
 var kindNames = [kinds]string{
 	"none", "refused", "failed", "partial", "attempt", "hedged", "abandoned", "answered",
 	"started", "stopping", "stopped", "reloaded", "ready", "not-ready", "config-accepted", "config-rejected",
-	"zone-evacuated", "isolated", "server-changed", "entry-rejected", "store-lost", "store-regained", "peer-lost", "peer-found",
+	"zone-evacuated", "isolated", "server-changed", "entry-rejected", "crash-suspected", "store-lost", "store-regained", "peer-lost", "peer-found",
 	"paused", "dropped", "problem",
 }
 
@@ -66,7 +67,7 @@
 // Key is the name of a field.
 type Key string
 
-// The fields.
+// The fields. Besides them each line has ts, vm, event and seq, which counts the lines of its VM.
 const (
 	Request  Key = "request"  // id of the client's attempt
 	Route    Key = "route"    // name of the route
@@ -91,6 +92,8 @@
 	Error    Key = "error"    // text of an error
 	Revision Key = "revision" // revision of the platform's store
 	State    Key = "state"    // condition of an upstream
+
+	Fingerprint Key = "fingerprint" // of what a request asks for
 )
 
 // Field is one value of a line.
--- a/event/log.go
+++ b/event/log.go
@@ -20,6 +20,7 @@
 
 	mu      sync.Mutex
 	queue   []line
+	seq     uint64
 	second  int64
 	used    [kinds]int
 	dropped [kinds]uint64
@@ -28,6 +29,7 @@
 
 type line struct {
 	at     time.Time
+	seq    uint64
 	kind   Kind
 	fields []Field
 }
@@ -89,7 +91,8 @@
 		return
 	}
 	l.used[k]++
-	l.queue = append(l.queue, line{now, k, fields})
+	l.seq++
+	l.queue = append(l.queue, line{now, l.seq, k, fields})
 	if len(l.queue) == 1 {
 		select {
 		case l.wake <- struct{}{}:
@@ -125,7 +128,8 @@
 	l.queue = nil
 	for k, n := range l.dropped {
 		if n > 0 {
-			lines = append(lines, line{time.Now(), Dropped, []Field{F(Reason, Kind(k).String()), F(Count, n)}})
+			l.seq++
+			lines = append(lines, line{time.Now(), l.seq, Dropped, []Field{F(Reason, Kind(k).String()), F(Count, n)}})
 		}
 	}
 	l.dropped = [kinds]uint64{}
@@ -141,7 +145,7 @@
 	logger := log.NewLogfmtLogger(&out)
 	keyvals := make([]any, 0, 32)
 	for _, n := range lines {
-		keyvals = append(keyvals[:0], "ts", n.at.UTC().Format(time.RFC3339Nano), "vm", l.vm, "event", n.kind.String())
+		keyvals = append(keyvals[:0], "ts", n.at.UTC().Format(time.RFC3339Nano), "vm", l.vm, "seq", n.seq, "event", n.kind.String())
 		for _, f := range n.fields {
 			keyvals = append(keyvals, string(f.Key), f.Value)
 		}
--- a/forward/budgets.go
+++ b/forward/budgets.go
@@ -60,6 +60,17 @@
 	return b.of(service).Take()
 }
 
+// levels returns the tokens left for each service.
+func (b *budgets) levels() map[string]float64 {
+	return table.Read(b.state, func(s *budgetState) map[string]float64 {
+		levels := make(map[string]float64, len(s.byService))
+		for service, t := range s.byService {
+			levels[service] = t.Level()
+		}
+		return levels
+	})
+}
+
 // Level returns the tokens left for a service.
 func (b *budgets) Level(service string) float64 {
 	return b.of(service).Level()
--- a/forward/query.go
+++ b/forward/query.go
@@ -22,6 +22,7 @@
 	route    *route.Route
 	deadline time.Time
 	answerBy time.Time
+	finger   uint64 // fingerprint of what the request asks for
 	state    *gather.Query[*Response]
 	shards   []catalog.Shard
 
@@ -45,8 +46,8 @@
 	at      time.Time
 }
 
-func newQuery(vm *VM, req *Request, cfg *route.Config, r *route.Route) *query {
-	return &query{vm: vm, req: req, cfg: cfg, route: r, done: make(chan struct{}), pending: map[attemptKey]*sent{}}
+func newQuery(vm *VM, req *Request, cfg *route.Config, r *route.Route, fingerprint uint64) *query {
+	return &query{vm: vm, finger: fingerprint, req: req, cfg: cfg, route: r, done: make(chan struct{}), pending: map[attemptKey]*sent{}}
 }
 
 // plan chooses the shards and their replicas. It returns a code if the request cannot be served now.
@@ -231,7 +232,7 @@
 	}
 	now := time.Now()
 	elapsed := now.Sub(s.at)
-	q.vm.observe(now, q.route.Name, s.ticket, reply, elapsed)
+	q.observe(now, s.ticket, reply, elapsed)
 	q.part(a, reply, elapsed)
 }
 
@@ -310,11 +311,19 @@
 	}
 }
 
-// observe takes what the end of an attempt tells about its replica.
-func (vm *VM) observe(now time.Time, group string, ticket replica.Ticket, reply Reply, elapsed time.Duration) {
-	typical := vm.latency.Typical(group)
-	vm.replicas.End(now, ticket, replica.Result{Ending: reply.Ending, Elapsed: elapsed, Typical: typical, Load: reply.Load})
+// observe takes what the end of an attempt tells about its replica and about the request.
+func (q *query) observe(now time.Time, ticket replica.Ticket, reply Reply, elapsed time.Duration) {
+	vm, group := q.vm, q.route.Name
+	crashed := vm.replicas.End(now, ticket, replica.Result{
+		Ending: reply.Ending, Elapsed: elapsed, Typical: vm.latency.Typical(group), Load: reply.Load, Fingerprint: q.finger,
+	})
+	for _, fp := range crashed {
+		if vm.Crashed(fp, ticket.Server.ID) {
+			vm.crashed(fp, ticket.Server.ID)
+		}
+	}
 	if reply.Ending == replica.Answered {
+		vm.suspects.Succeeded(q.finger)
 		vm.latency.Observe(now, group, elapsed)
 	}
 }
--- a/forward/vm.go
+++ b/forward/vm.go
@@ -8,6 +8,7 @@
 	"pistachioshore.dev/balancer"
 	"pistachioshore.dev/event"
 	"pistachioshore.dev/pool"
+	"pistachioshore.dev/quarantine"
 	"pistachioshore.dev/replica"
 	"pistachioshore.dev/result"
 	"pistachioshore.dev/route"
@@ -25,6 +26,8 @@
 	sender   Sender
 	events   event.Recorder
 	stats    *Stats
+	suspects *quarantine.Suspects
+	crashed  func(fingerprint uint64, server string) // tells the other VMs
 
 	work   *pool.Pool[func()]
 	timers *pool.Timers[func()]
@@ -50,6 +53,8 @@
 		latency:  balancer.NewLatency(latencySettings()),
 		budgets:  newBudgets(s.RetryShare * budgetUse),
 		stats:    newStats(),
+		suspects: quarantine.NewSuspects(quarantine.SuspectDefaults()),
+		crashed:  func(uint64, string) {},
 		load:     table.NewGuarded(table.RankPending, inFlight{members: 1}),
 	}
 	vm.work = pool.New(s.Workers, func(task func()) { task() })
@@ -73,6 +78,21 @@
 	vm.budgets.setBurst(float64(vm.settings.RetryBurst) * budgetUse / float64(n))
 }
 
+// OnCrash sets what is told of each upstream that crashed under a request.
+func (vm *VM) OnCrash(tell func(fingerprint uint64, server string)) {
+	vm.crashed = tell
+}
+
+// Crashed notes that an upstream crashed under a request, as this VM saw or another one told it, and
+// reports whether that is new.
+func (vm *VM) Crashed(fingerprint uint64, server string) bool {
+	if !vm.suspects.Crashed(time.Now(), fingerprint, server) {
+		return false
+	}
+	vm.events.Record(event.CrashSuspected, event.F(event.Fingerprint, fingerprint), event.F(event.Server, server))
+	return true
+}
+
 // Refuse makes the VM refuse new requests as not run, as the last step before it stops.
 func (vm *VM) Refuse() {
 	vm.load.With(func(l *inFlight) { l.refusing = true })
@@ -88,6 +108,11 @@
 	return vm.stats
 }
 
+// Budgets returns the attempts beyond the first that may be sent to each service now.
+func (vm *VM) Budgets() map[string]float64 {
+	return vm.budgets.levels()
+}
+
 // Close ends the workers; no request may be under way.
 func (vm *VM) Close() {
 	vm.timers.Stop()
@@ -104,11 +129,15 @@
 	if !ok {
 		return vm.refuse(req, nil, cfg.Version, result.UnknownRoute, "no route for host and path")
 	}
+	fingerprint := quarantine.Fingerprint(req.Method, nil, []string{req.Host, req.Target, string(req.Body)}, 0)
+	if vm.suspects.Blocked(time.Now(), fingerprint) {
+		return vm.refuse(req, r, cfg.Version, result.Quarantined, "upstreams crashed under this request")
+	}
 	if code, why := vm.admit(); code != 0 {
 		return vm.refuse(req, r, cfg.Version, code, why)
 	}
 	defer vm.load.With(func(l *inFlight) { l.requests-- })
-	q := newQuery(vm, req, cfg, r)
+	q := newQuery(vm, req, cfg, r, fingerprint)
 	if code, why := q.plan(); code != 0 {
 		return vm.refuse(req, r, cfg.Version, code, why)
 	}
@@ -147,7 +176,7 @@
 // retryAfter returns when a refused client should come back, spread so that clients do not return together.
 func retryAfter(code result.Code) time.Duration {
 	switch code {
-	case result.UnknownRoute:
+	case result.UnknownRoute, result.Quarantined:
 		return 0
 	case result.NotReady, result.Stopping:
 		return leastRetryAfter
--- a/member/member.go
+++ b/member/member.go
@@ -11,6 +11,7 @@
 	"pistachioshore.dev/event"
 	"pistachioshore.dev/fleet"
 	"pistachioshore.dev/pool"
+	"pistachioshore.dev/quarantine"
 	"pistachioshore.dev/table"
 	"pistachioshore.dev/transport"
 	"pistachioshore.dev/transport/socket"
@@ -37,6 +38,7 @@
 	state    State
 	events   event.Recorder
 	changed  func(members int)
+	crashed  func(fingerprint uint64, server string)
 	work     *pool.Pool[func()]
 	settings fleet.Settings
 	seen     *table.Guarded[sightings]
@@ -53,11 +55,15 @@
 
 var _ socket.Receiver = (*Member)(nil)
 
-// New returns a view that knows no other VM; changed is told the number of VMs whenever it differs.
-func New(self fleet.Self, peers transport.Peer, state State, events event.Recorder, now time.Time, changed func(members int)) *Member {
+// New returns a view that knows no other VM. Changed is told the number of VMs whenever it differs, and
+// crashed what other VMs say of requests under which upstreams crashed.
+func New(
+	self fleet.Self, peers transport.Peer, state State, events event.Recorder, now time.Time,
+	changed func(members int), crashed func(fingerprint uint64, server string),
+) *Member {
 	s := settings()
 	m := &Member{
-		self: self, fleet: fleet.New(self, s, now), peers: peers, state: state, events: events, changed: changed, settings: s,
+		self: self, fleet: fleet.New(self, s, now), peers: peers, state: state, events: events, changed: changed, crashed: crashed, settings: s,
 		seen: table.NewGuarded(table.RankPending, sightings{last: map[netip.AddrPort]time.Time{}, started: now}),
 	}
 	m.work = pool.New(1, func(task func()) { task() })
@@ -169,6 +175,8 @@
 		m.hear(now, from, e.Heartbeat)
 	case e.ConfigRequest != nil:
 		m.export(from)
+	case e.CanaryReport != nil:
+		m.crashed(e.CanaryReport.Fingerprint, e.CanaryReport.Upstream)
 	case e.ConfigValue != nil:
 		if err := m.state.Import(e.ConfigValue.Value); err != nil {
 			m.events.Record(event.Problem, event.F(event.Reason, "state of another VM"), event.F(event.Peer, from), event.F(event.Error, err))
@@ -206,6 +214,14 @@
 	}
 }
 
+// TellCrash tells the other VMs that an upstream crashed while it ran a request.
+func (m *Member) TellCrash(now time.Time, fingerprint uint64, server string) {
+	r := &wire.CanaryReport{Fingerprint: fingerprint, Upstream: server, Outcome: quarantine.Crashed.String(), Until: now}
+	for _, p := range m.fleet.Peers(now) {
+		m.peers.Send(p.Address, &wire.Envelope{Kind: codec.KindCanaryReport, CanaryReport: r})
+	}
+}
+
 func (m *Member) export(to netip.AddrPort) {
 	state, err := m.state.Export()
 	if err != nil {
--- a/replica/options.go
+++ b/replica/options.go
@@ -35,6 +35,9 @@
 	ejectFirst   = 200 * time.Millisecond
 	ejectLongest = 1600 * time.Millisecond
 
+	// crashMemory is the time between a broken connection and a refused one that makes them one crash.
+	crashMemory = 2 * time.Second
+
 	// coldWindow is the span over which the requests to a cold upstream are counted.
 	coldWindow = time.Second
 )
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -37,6 +37,8 @@
 	Elapsed time.Duration
 	Typical time.Duration // median of the attempt's kind of request, by which Elapsed is judged
 	Load    *Load         // nil if the upstream did not report any
+	// Fingerprint names the request, so that it can be blamed if the upstream turns out to have crashed.
+	Fingerprint uint64
 }
 
 // Settings are what a VM knows of the tier and its own place in it.
@@ -129,9 +131,11 @@
 	return table.Read2(t.state, func(st *state) (Ticket, bool) { return st.start(now, id, service) })
 }
 
-// End takes how an attempt ended; a ticket of an earlier lifetime changes nothing.
-func (t *Table) End(now time.Time, k Ticket, r Result) {
-	t.state.With(func(st *state) { st.end(now, k, r) })
+// End takes how an attempt ended. It returns the fingerprints of the requests on whose connections the
+// upstream has crashed, once that is known: a connection that breaks is no crash, one that is refused
+// soon after is.
+func (t *Table) End(now time.Time, k Ticket, r Result) []uint64 {
+	return table.Read(t.state, func(st *state) []uint64 { return st.end(now, k, r) })
 }
 
 // Stalled reports whether the replica seems to stand still: an attempt at it is overdue by far.
--- a/replica/stat.go
+++ b/replica/stat.go
@@ -26,9 +26,16 @@
 	loadedAt     time.Time
 	lost         int // connection failures in a row
 	ejections    int
+	suspects     []suspect // requests whose connection broke and whose upstream was not heard since
 	ejectedUntil time.Time
 }
 
+// suspect is a request under which the upstream may have crashed.
+type suspect struct {
+	fingerprint uint64
+	at          time.Time
+}
+
 type pending struct {
 	number uint64
 	since  time.Time
@@ -93,7 +100,7 @@
 	return cost
 }
 
-func (r *replica) end(now time.Time, number uint64, res Result) {
+func (r *replica) end(now time.Time, number uint64, res Result) []uint64 {
 	r.pending = slices.DeleteFunc(r.pending, func(p pending) bool { return p.number == number })
 	if res.Load != nil {
 		r.load, r.loadedAt = *res.Load, now
@@ -105,6 +112,7 @@
 	case Answered:
 		r.lost, r.ejections = 0, 0
 		r.answered = now
+		r.suspects = nil
 		r.ejectedUntil = time.Time{}
 		r.observe(now, res, 0)
 	case Withdrawn:
@@ -112,12 +120,30 @@
 	case Failed, Shed:
 		r.lost = 0
 		r.fail(now)
-	case Lost, Refused:
+	case Lost:
+		r.fail(now)
+		r.eject(now)
+		r.suspects = append(r.suspects, suspect{res.Fingerprint, now})
+	case Refused:
 		r.fail(now)
 		r.eject(now)
+		return r.crashed(now)
 	case Misplaced:
 		r.misplaced = true
 	}
+	return nil
+}
+
+// crashed returns the requests on whose connections the upstream has just crashed.
+func (r *replica) crashed(now time.Time) []uint64 {
+	var list []uint64
+	for _, s := range r.suspects {
+		if now.Sub(s.at) <= crashMemory {
+			list = append(list, s.fingerprint)
+		}
+	}
+	r.suspects = nil
+	return list
 }
 
 // weight of one observation against the ones before it.
--- a/replica/state.go
+++ b/replica/state.go
@@ -169,15 +169,16 @@
 	return true
 }
 
-func (st *state) end(now time.Time, k Ticket, res Result) {
+func (st *state) end(now time.Time, k Ticket, res Result) []uint64 {
 	if k.lifetime == nil {
-		return
+		return nil
 	}
-	k.lifetime.end(now, k.number, res)
+	crashed := k.lifetime.end(now, k.number, res)
 	switch res.Ending {
 	case Answered, Failed, Shed, Misplaced:
 		st.zone(k.Server.Zone).heard()
 	}
+	return crashed
 }
 
 func (st *state) counts(now time.Time) Counts {
