--- a/forward/answer.go
+++ b/forward/answer.go
@@ -53,17 +53,19 @@
 // failed returns the code of a query without a good answer. It says "not run" only if that holds for
 // every attempt.
 func (q *query) failed(g gather.Answer[*Response]) result.Code {
+	late := !time.Now().Before(q.deadline)
 	code := result.Unreachable
 	if len(g.Covered) > 0 {
 		code = result.Late
 	}
 	for _, m := range g.Missing {
-		if m.Code.Effect() != result.NotRun || code.Effect() == result.NotRun {
+		switch {
+		case m.Code == result.Late && late:
+			return result.Late
+		case m.Code == result.Late && code.Effect() != result.NotRun: // given up because of the others
+		case m.Code.Effect() != result.NotRun || code.Effect() == result.NotRun:
 			code = m.Code
 		}
-		if code == result.Late {
-			break
-		}
 	}
 	return code
 }
--- a/forward/budgets.go
+++ b/forward/budgets.go
@@ -37,7 +37,7 @@
 	return table.Read(b.state, func(s *budgetState) *budget.Tokens {
 		t, ok := s.byService[service]
 		if !ok {
-			t = budget.NewTokens(s.share, 0)
+			t = budget.NewTokens(s.share, int(s.burst/2)) // a VM that has just started may retry
 			t.SetBurst(s.burst)
 			s.byService[service] = t
 		}
--- /dev/null
+++ b/replica/replica_test.go
@@ -0,0 +1,159 @@
+package replica_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"pistachioshore.dev/replica"
+	"pistachioshore.dev/route"
+)
+
+var start = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+
+// bench is a table with the attempts that a script has started.
+type bench struct {
+	table   *replica.Table
+	tickets map[string]replica.Ticket
+	rand    *rand.Rand
+}
+
+// TestScripts guards which upstreams may get a request and which of them is chosen: not those that drain,
+// lie in an evacuated zone, have gone, are another one by now, or stand still.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		b := &bench{tickets: map[string]replica.Ticket{}, rand: rand.New(rand.NewPCG(1, 1))}
+		b.table = replica.New(replica.Settings{
+			Zone: "brest-nord", Regions: map[string]string{"brest-nord": "armorique", "angers-est": "armorique", "wien": "austria"},
+			WarmupOvershoot: 1.5, WarmupSlack: 5,
+		})
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			var out strings.Builder
+			for _, line := range strings.Split(strings.TrimSpace(d.Input), "\n") {
+				out.WriteString(b.run(t, line))
+			}
+			return out.String()
+		})
+	})
+}
+
+// run carries out one line: the time in ms, a command and its arguments.
+func (b *bench) run(t *testing.T, line string) string {
+	f := strings.Fields(line)
+	var ms int
+	fmt.Sscan(f[0], &ms)
+	now := start.Add(time.Duration(ms) * time.Millisecond)
+	args := f[2:]
+	switch f[1] {
+	case "put":
+		b.table.Put(now, server(args))
+	case "remove":
+		var wait int
+		fmt.Sscan(args[1], &wait)
+		return fmt.Sprintf("known %t\n", b.table.Remove(now, args[0], now.Add(time.Duration(wait)*time.Millisecond)))
+	case "evacuate":
+		zones := map[string]bool{}
+		for _, z := range args {
+			zones[z] = true
+		}
+		b.table.SetEvacuated(zones)
+	case "members":
+		var n int
+		fmt.Sscan(args[0], &n)
+		b.table.SetMembers(n)
+	case "candidates":
+		list := b.table.Candidates(now, args[0], args[1:], true)
+		slices.Sort(list)
+		return fmt.Sprintln("candidates", list)
+	case "orders":
+		list := b.table.Candidates(now, args[0], nil, false)
+		slices.Sort(list)
+		return fmt.Sprintln("candidates", list)
+	case "choose":
+		return fmt.Sprintln("chosen", b.table.Choose(now, b.rand, args))
+	case "start":
+		return b.start(now, args)
+	case "starts":
+		return b.starts(now, args)
+	case "end":
+		return b.end(now, args)
+	case "cut":
+		return fmt.Sprintln("cut", b.table.CutZones(now))
+	case "stalled":
+		return fmt.Sprintln("stalled", b.table.Stalled(now, args[0]))
+	default:
+		t.Fatalf("unknown command %q", f[1])
+	}
+	return ""
+}
+
+// server reads id, service, zone and options.
+func server(args []string) route.Server {
+	s := route.Server{ID: args[0], Service: args[1], Zone: args[2], Slots: 3, Address: netip.MustParseAddrPort("10.1.0.1:80")}
+	for _, o := range args[3:] {
+		name, value, _ := strings.Cut(o, "=")
+		var n int64
+		fmt.Sscan(value, &n)
+		switch name {
+		case "draining":
+			s.Draining = true
+		case "cold":
+			s.WarmupLeft = time.Duration(n) * time.Millisecond
+		case "born":
+			s.Born = time.UnixMilli(n)
+		}
+	}
+	return s
+}
+
+// start begins the attempt with the name args[0] at the replica args[1].
+func (b *bench) start(now time.Time, args []string) string {
+	k, ok := b.table.Start(now, args[1], route.Service{})
+	b.tickets[args[0]] = k
+	if !ok {
+		return "not started\n"
+	}
+	return ""
+}
+
+// starts counts how many of n attempts a replica with a cold rate gets.
+func (b *bench) starts(now time.Time, args []string) string {
+	var n, got int
+	var rate float64
+	fmt.Sscan(args[1], &n)
+	fmt.Sscan(args[2], &rate)
+	for range n {
+		if _, ok := b.table.Start(now, args[0], route.Service{WarmupRate: rate}); ok {
+			got++
+		}
+	}
+	return fmt.Sprintln("started", got)
+}
+
+var endings = map[string]replica.Ending{
+	"answered": replica.Answered, "failed": replica.Failed, "shed": replica.Shed, "lost": replica.Lost,
+	"refused": replica.Refused, "withdrawn": replica.Withdrawn, "misplaced": replica.Misplaced,
+}
+
+// end takes the end of an attempt: name, ending, elapsed in ms, fingerprint.
+func (b *bench) end(now time.Time, args []string) string {
+	r := replica.Result{Ending: endings[args[1]], Typical: 20 * time.Millisecond}
+	if len(args) > 2 {
+		var ms int
+		fmt.Sscan(args[2], &ms)
+		r.Elapsed = time.Duration(ms) * time.Millisecond
+	}
+	if len(args) > 3 {
+		fmt.Sscan(args[3], &r.Fingerprint)
+	}
+	if crashed := b.table.End(now, b.tickets[args[0]], r); len(crashed) > 0 {
+		return fmt.Sprintln("crashed under", crashed)
+	}
+	return ""
+}
