--- a/pool/wait.go
+++ b/pool/wait.go
@@ -21,3 +21,17 @@
 func WaitUntil(ctx context.Context, at time.Time) bool {
 	return Wait(ctx, time.Until(at))
 }
+
+// WaitFor waits until changed is closed or d is over; it reports false if ctx ends first.
+func WaitFor(ctx context.Context, changed <-chan struct{}, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-changed:
+		return true
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/standin/shard/shard.go
@@ -0,0 +1,170 @@
+// Package shard is the stand-in for a server on the users' platform: it runs requests in slots, signs its
+// answers, and misbehaves as a test says. It counts each request that it starts.
+package shard
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"pistachioshore.dev/pool"
+	"pistachioshore.dev/standin"
+	"pistachioshore.dev/table"
+)
+
+// Behaviour is how a server treats the requests to it.
+type Behaviour string
+
+// The behaviours.
+const (
+	Sound   Behaviour = ""
+	Shedder Behaviour = "shed"   // refuses without running
+	Failing Behaviour = "fail"   // runs and answers 500
+	Losing  Behaviour = "lose"   // runs and closes the connection without an answer
+	Mute    Behaviour = "mute"   // runs and never answers
+	Other   Behaviour = "other"  // another server has the address
+	Unsign  Behaviour = "unsign" // answers without its signature
+)
+
+// Run is one request that a server began to run.
+type Run struct {
+	ID     string
+	Method string
+	Target string
+	Body   string
+	Header http.Header
+	At     time.Time
+}
+
+// Server is one lifetime of a server.
+type Server struct {
+	id       string
+	service  string
+	zone     string
+	work     time.Duration
+	listener net.Listener
+	http     *http.Server
+	state    *table.Guarded[state]
+}
+
+type state struct {
+	behaviour Behaviour
+	runs      []Run
+	running   int
+}
+
+// New starts a server on loopback whose requests take work.
+func New(id, service, zone string, work time.Duration) (*Server, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{id: id, service: service, zone: zone, work: work, listener: l, state: table.NewGuarded(standin.RankUpstream, state{})}
+	s.http = &http.Server{Handler: s}
+	go func() { _ = s.http.Serve(l) }() // ends with ErrServerClosed at Close
+	return s, nil
+}
+
+// Close ends the server as a crash does.
+func (s *Server) Close() {
+	_ = s.http.Close()
+}
+
+// Address returns where the server listens.
+func (s *Server) Address() netip.AddrPort {
+	return netip.MustParseAddrPort(s.listener.Addr().String())
+}
+
+// Key returns the key of the server's entry in the store.
+func (s *Server) Key() string {
+	return "servers/" + s.id
+}
+
+// Entry returns what the server writes of itself into the store.
+func (s *Server) Entry(status string) []byte {
+	b, _ := json.Marshal(map[string]any{ // strings and numbers only: it cannot fail
+		"service": s.service, "address": s.Address().String(), "zone": s.zone, "version": "v1", "capacity": 3,
+		"state": status, "warmupLeftMs": 0, "sequence": 1, "born": time.Now().UnixMilli(),
+	})
+	return b
+}
+
+// Behave changes how requests are treated from now on.
+func (s *Server) Behave(b Behaviour) {
+	s.state.With(func(st *state) { st.behaviour = b })
+}
+
+// Runs returns the requests that the server began to run.
+func (s *Server) Runs() []Run {
+	return table.Read(s.state, func(st *state) []Run { return append([]Run(nil), st.runs...) })
+}
+
+// Stamp returns the signature of an answer, which a test can compare.
+func Stamp(id, request string, body []byte) string {
+	return fmt.Sprintf("%s.%s.%x", id, request, xxhash.Sum64(body))
+}
+
+// Record returns the record of 16 bytes that a server holds for a request target.
+func Record(id, target string) []byte {
+	sum := xxhash.Sum64String(id + target)
+	return []byte(fmt.Sprintf("%016x", sum))
+}
+
+// ServeHTTP serves one request.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	request := r.Header.Get("X-Pistachioshore-Request-Id")
+	w.Header().Set("X-Pistachioshore-Request-Id", request)
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return // the connection has ended
+	}
+	b := table.Read(s.state, func(st *state) Behaviour { return st.behaviour })
+	expect := r.Header.Get("X-Pistachioshore-Expect-Instance")
+	switch {
+	case b == Other || (expect != "" && expect != s.id):
+		w.Header().Set("X-Pistachioshore-Instance-Id", "i-other")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	case b == Shedder:
+		w.Header().Set("X-Pistachioshore-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	s.state.With(func(st *state) {
+		st.running++
+		st.runs = append(st.runs, Run{ID: request, Method: r.Method, Target: r.RequestURI, Body: string(body), Header: r.Header, At: time.Now()})
+	})
+	defer s.state.With(func(st *state) { st.running-- })
+	if !pool.Wait(r.Context(), s.work) {
+		return // the caller has left
+	}
+	s.answer(w, r, b, request)
+}
+
+// answer ends a request that has run.
+func (s *Server) answer(w http.ResponseWriter, r *http.Request, b Behaviour, request string) {
+	record := Record(s.id, r.RequestURI)
+	switch b {
+	case Losing:
+		panic(http.ErrAbortHandler)
+	case Mute:
+		<-r.Context().Done()
+		return
+	case Unsign:
+	default:
+		w.Header().Set("X-Pistachioshore-Response-Stamp", Stamp(s.id, request, record))
+	}
+	w.Header().Set("X-Pistachioshore-Server-Load", strconv.Itoa(table.Read(s.state, func(st *state) int { return st.running }))+",0,3")
+	if b == Failing {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	_, _ = w.Write(record) // the caller has left if this fails
+}
