--- a/forward/options.go
+++ b/forward/options.go
@@ -18,7 +18,7 @@
 	hedgeFloor = 8 * time.Millisecond
 
 	// lateAnswer is how long an attempt that nobody waits for may take to end before its connection is closed.
-	lateAnswer = 50 * time.Millisecond
+	lateAnswer = 5 * time.Millisecond
 
 	// budgetUse is the part of the retry budget that is used; the rest covers arrivals that the VM
 	// cannot see, such as those of a process that was killed.
--- a/replica/options.go
+++ b/replica/options.go
@@ -5,7 +5,7 @@
 const (
 	// forgetting is the time in which what was observed of a replica loses 63% of its weight. A slow
 	// upstream is tried again after about twice that, and one that has recovered gets work back.
-	forgetting = 1500 * time.Millisecond
+	forgetting = 3 * time.Second
 
 	// loadAge is the time for which a reported load is believed; other VMs change it meanwhile.
 	loadAge = 300 * time.Millisecond
