--- a/cmd/pistachioshore/main.go
+++ b/cmd/pistachioshore/main.go
@@ -21,6 +21,8 @@
 	Status statusCommand `cmd:"" help:"Print what one entry VM believes."`
 	Demo   demoCommand   `cmd:"" help:"Run both firms on loopback for about 20 s and check what must always hold."`
 	Check  checkCommand  `cmd:"" help:"Check a configuration file as an entry VM would."`
+
+	Explain explainCommand `cmd:"" help:"Print what log lines say of one request."`
 }
 
 // exit ends the process; the library's own status for wrong flags becomes the customary one.
--- a/event/event.go
+++ b/event/event.go
@@ -81,6 +81,7 @@
 	Elapsed  Key = "elapsed"  // since the request or attempt began
 	Left     Key = "left"     // time left for the request
 	After    Key = "after"    // Retry-After, or the delay of a hedge
+	Missing  Key = "missing"  // shards that an answer lacks, each with its reason
 	Covered  Key = "covered"  // shards in the answer
 	Shards   Key = "shards"   // shards of the route
 	Running  Key = "running"  // requests in flight at this VM
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -1,6 +1,8 @@
 package forward
 
 import (
+	"fmt"
+	"strings"
 	"time"
 
 	"pistachioshore.dev/event"
@@ -70,6 +72,25 @@
 	return code
 }
 
+// maxMissing bounds the shards that one line names.
+const maxMissing = 6
+
+// missing returns the shards that an answer lacks with their reasons.
+func missing(list []gather.Missing) string {
+	var out strings.Builder
+	for i, m := range list {
+		if i == maxMissing {
+			fmt.Fprintf(&out, " and %d more", len(list)-i)
+			break
+		}
+		if i > 0 {
+			out.WriteByte(' ')
+		}
+		fmt.Fprintf(&out, "%s:%v", m.Shard.Service, m.Code)
+	}
+	return out.String()
+}
+
 // ended records how the query ended.
 func (q *query) ended(a Answer, g gather.Answer[*Response]) Answer {
 	kind := event.Answered
@@ -91,8 +112,7 @@
 	fields := q.fields(event.F(event.Code, a.Code), event.F(event.Covered, len(g.Covered)),
 		event.F(event.Shards, len(q.shards)), event.F(event.Number, retried))
 	if len(g.Missing) > 0 {
-		m := g.Missing[0]
-		fields = append(fields, event.F(event.Service, m.Shard.Service), event.F(event.Reason, m.Code))
+		fields = append(fields, event.F(event.Missing, missing(g.Missing)))
 	}
 	if a.RetryAfter > 0 {
 		fields = append(fields, event.F(event.After, a.RetryAfter))
--- a/forward/options.go
+++ b/forward/options.go
@@ -30,6 +30,10 @@
 	// mostConnections bounds the connections to one upstream where its service names no limit.
 	mostConnections = 64
 
+	// unreachableRetryAfter is half of the longest time after which a client returns whose request found
+	// too few upstreams; the load balancer takes up to 2 s to move it.
+	unreachableRetryAfter = 400 * time.Millisecond
+
 	// leastRetryAfter and mostRetryAfter bound the time after which a refused client returns.
 	leastRetryAfter = 20 * time.Millisecond
 	mostRetryAfter  = time.Second
--- a/forward/vm.go
+++ b/forward/vm.go
@@ -180,6 +180,8 @@
 		return 0
 	case result.NotReady, result.Stopping:
 		return leastRetryAfter
+	case result.Unreachable: // until the upstreams are back or the load balancer has moved the client
+		return unreachableRetryAfter + time.Duration(rand.Int64N(int64(unreachableRetryAfter)))
 	default:
 		spread := time.Duration(rand.Int64N(int64(3 * leastRetryAfter)))
 		return min(2*leastRetryAfter+spread, mostRetryAfter)
