--- a/cmd/pistachioshore/status.go
+++ b/cmd/pistachioshore/status.go
@@ -29,7 +29,7 @@
   pistachioshore status --entry 127.0.0.1:20901 --report json
 
 Exit statuses: 0 printed, 1 the VM cannot be reached or another error, 2 usage.
-docs/operations.md says what to look for.`
+docs/OPERATIONS.md says what to look for.`
 }
 
 // Run prints what one VM believes.
--- a/entry/process/process_test.go
+++ b/entry/process/process_test.go
@@ -111,7 +111,7 @@
 	}
 }
 
-// TestMetricsPage guards the names that docs/operations.md lists for alarms.
+// TestMetricsPage guards the names that docs/OPERATIONS.md lists for alarms.
 func TestMetricsPage(t *testing.T) {
 	address := startProcess(t)
 	resp, err := http.Get("http://" + address + "/metrics")
--- a/forward/query.go
+++ b/forward/query.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"time"
 
@@ -83,12 +85,21 @@
 		q.shards = append(q.shards, sp.Shard)
 	}
 	if reachable == 0 || float64(reachable) < p.MinimumCoverage*float64(len(p.Shards)) {
-		return result.Unreachable, "too few services have an upstream that may be used"
+		return result.Unreachable, q.vm.unreachable(now, reachable, len(p.Shards))
 	}
 	q.state = gather.New[*Response](p, q, q.vm.budgets, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	return 0, ""
 }
 
+// unreachable says why a request finds too few upstreams.
+func (vm *VM) unreachable(now time.Time, reachable, services int) string {
+	why := fmt.Sprintf("%d of %d services have an upstream that may be used", reachable, services)
+	if cut := vm.replicas.CutZones(now); len(cut) > 0 {
+		why += "; cut off: " + strings.Join(cut, ", ")
+	}
+	return why
+}
+
 // limit returns the time at which the client has left or the operator wants the request ended.
 func (q *query) limit() time.Time {
 	end := q.req.Deadline
