--- a/entry/vm/peers.go
+++ b/entry/vm/peers.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"pistachioshore.dev/codec"
-	"pistachioshore.dev/fleet"
 	"pistachioshore.dev/result"
 	"pistachioshore.dev/transport/socket"
 	"pistachioshore.dev/upstream"
@@ -137,14 +136,7 @@
 
 func (vm *VM) receiveHeartbeat(from netip.AddrPort, h *wire.Heartbeat) {
 	now := vm.now()
-	hb := fleet.Heartbeat{
-		Address: from, Zone: h.Zone, Incarnation: h.Incarnation, Term: h.Term, Leaving: h.Leaving, Ready: h.Ready,
-		Revision: h.Revision, Digest: h.Digest,
-	}
-	for _, p := range h.Heard {
-		hb.Heard = append(hb.Heard, fleet.HeardPeer{Address: p.VM, Incarnation: p.Incarnation, Term: p.Term, Age: p.Age})
-	}
-	vm.fleet.Hear(now, hb)
+	vm.fleet.Hear(now, codec.FromWireHeartbeat(from, h))
 	vm.contacts.heard(from)
 	// A VM that is heard gives no other reason to connect to it, for example one that has restarted at
 	// its address, or one that this VM, cut off from the platform, has no list of.
@@ -158,12 +150,5 @@
 		revision, digest = cfg.Revision, cfg.Digest
 	}
 	h := vm.fleet.Heartbeat(now, revision, digest, vm.Ready())
-	m := &wire.Heartbeat{
-		VM: h.Address, Zone: h.Zone, Incarnation: h.Incarnation, Term: h.Term, Leaving: h.Leaving, Ready: h.Ready,
-		Revision: h.Revision, Digest: h.Digest, Heard: []wire.HeardPeer{},
-	}
-	for _, p := range h.Heard {
-		m.Heard = append(m.Heard, wire.HeardPeer{VM: p.Address, Incarnation: p.Incarnation, Term: p.Term, Age: p.Age})
-	}
-	vm.broadcast(&wire.Envelope{Kind: codec.KindHeartbeat, Heartbeat: m})
+	vm.broadcast(&wire.Envelope{Kind: codec.KindHeartbeat, Heartbeat: codec.ToWireHeartbeat(h)})
 }
--- a/member/member.go
+++ b/member/member.go
@@ -152,15 +152,8 @@
 
 func (m *Member) heartbeat(now time.Time) {
 	h := m.fleet.Heartbeat(now, m.state.Revision(), 0, true)
-	w := &wire.Heartbeat{
-		VM: h.Address, Zone: h.Zone, Incarnation: h.Incarnation, Term: h.Term, Leaving: h.Leaving, Ready: h.Ready,
-		Revision: h.Revision, Digest: h.Digest, Heard: []wire.HeardPeer{},
-	}
-	for _, p := range h.Heard {
-		w.Heard = append(w.Heard, wire.HeardPeer{VM: p.Address, Incarnation: p.Incarnation, Term: p.Term, Age: p.Age})
-	}
 	for _, p := range m.fleet.Peers(now) {
-		m.peers.Send(p.Address, &wire.Envelope{Kind: codec.KindHeartbeat, Heartbeat: w})
+		m.peers.Send(p.Address, &wire.Envelope{Kind: codec.KindHeartbeat, Heartbeat: codec.ToWireHeartbeat(h)})
 	}
 }
 
@@ -185,14 +178,7 @@
 }
 
 func (m *Member) hear(now time.Time, from netip.AddrPort, h *wire.Heartbeat) {
-	hb := fleet.Heartbeat{
-		Address: from, Zone: h.Zone, Incarnation: h.Incarnation, Term: h.Term, Leaving: h.Leaving, Ready: h.Ready,
-		Revision: h.Revision, Digest: h.Digest,
-	}
-	for _, p := range h.Heard {
-		hb.Heard = append(hb.Heard, fleet.HeardPeer{Address: p.VM, Incarnation: p.Incarnation, Term: p.Term, Age: p.Age})
-	}
-	m.fleet.Hear(now, hb)
+	m.fleet.Hear(now, codec.FromWireHeartbeat(from, h))
 	m.peers.Connect(from)
 	var found, ask bool
 	wanted := m.state.Wanted(h.Revision)
--- /dev/null
+++ b/member/member_test.go
@@ -0,0 +1,119 @@
+package member
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"pistachioshore.dev/codec"
+	"pistachioshore.dev/event"
+	"pistachioshore.dev/fleet"
+	"pistachioshore.dev/wire"
+)
+
+// bench is a VM whose peers and state a script plays.
+type bench struct {
+	member    *Member
+	connected []string
+	sent      []string
+	members   []int
+	crashes   []string
+	revision  uint64
+	away      bool
+	imported  []string
+}
+
+// Connect notes the VM.
+func (b *bench) Connect(vm netip.AddrPort) {
+	if !slices.Contains(b.connected, vm.String()) {
+		b.connected = append(b.connected, vm.String())
+	}
+}
+
+// Forget does nothing.
+func (b *bench) Forget(netip.AddrPort) {}
+
+// Send notes the message.
+func (b *bench) Send(vm netip.AddrPort, e *wire.Envelope) bool {
+	b.sent = append(b.sent, e.Kind+" to "+vm.String())
+	return true
+}
+
+// Revision returns the revision of the state.
+func (b *bench) Revision() uint64 { return b.revision }
+
+// Export returns the state.
+func (b *bench) Export() ([]byte, error) { return []byte("state"), nil }
+
+// Wanted reports whether the store is away and the other VM knows more.
+func (b *bench) Wanted(revision uint64) bool { return b.away && revision > b.revision }
+
+// Import takes a state.
+func (b *bench) Import(state []byte) error {
+	b.imported = append(b.imported, string(state))
+	return nil
+}
+
+var start = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+
+// TestScripts guards how many VMs share the limits of upstreams, also while some are silent, and that a
+// VM without the store asks one that knows more.
+func TestScripts(t *testing.T) {
+	datadriven.RunTest(t, "testdata/member.txt", func(t *testing.T, d *datadriven.TestData) string {
+		b := &bench{}
+		self := fleet.Self{Address: netip.MustParseAddrPort("10.1.0.1:80"), Zone: "brest-nord", Incarnation: 1}
+		b.member = New(self, b, b, event.Discard{}, start,
+			func(n int) { b.members = append(b.members, n) },
+			func(fp uint64, server string) { b.crashes = append(b.crashes, fmt.Sprintf("%d at %s", fp, server)) })
+		defer b.member.work.Stop()
+		for _, line := range strings.Split(strings.TrimSpace(d.Input), "\n") {
+			b.run(t, line)
+		}
+		slices.Sort(b.sent)
+		return fmt.Sprintf("members %v\nconnected %v\nsent %v\nimported %v crashes %v\n",
+			b.members, b.connected, slices.Compact(b.sent), b.imported, b.crashes)
+	})
+}
+
+// run carries out one line: the time in ms, a command and its arguments.
+func (b *bench) run(t *testing.T, line string) {
+	f := strings.Fields(line)
+	var ms int
+	fmt.Sscan(f[0], &ms)
+	now := start.Add(time.Duration(ms) * time.Millisecond)
+	from := netip.MustParseAddrPort("10.1.0.2:80")
+	if len(f) > 2 {
+		from = netip.MustParseAddrPort("10.1.0." + f[2] + ":80")
+	}
+	switch f[1] {
+	case "tick":
+		b.member.tick(now)
+	case "beat":
+		b.member.heartbeat(now)
+	case "seed":
+		b.member.Seeds(now, []netip.AddrPort{from})
+	case "hear":
+		h := &wire.Heartbeat{VM: from, Zone: "angers-est", Incarnation: 5, Heard: []wire.HeardPeer{}}
+		if len(f) > 3 {
+			fmt.Sscan(f[3], &h.Revision)
+		}
+		b.member.handle(now, from, &wire.Envelope{Kind: codec.KindHeartbeat, Heartbeat: h})
+	case "away":
+		b.away = true
+	case "ask":
+		b.member.handle(now, from, &wire.Envelope{Kind: codec.KindConfigRequest, ConfigRequest: &wire.ConfigRequest{}})
+	case "state":
+		b.member.handle(now, from, &wire.Envelope{Kind: codec.KindConfigValue, ConfigValue: &wire.ConfigValue{Value: []byte("theirs")}})
+	case "crash":
+		b.member.handle(now, from, &wire.Envelope{Kind: codec.KindCanaryReport, CanaryReport: &wire.CanaryReport{Fingerprint: 7, Upstream: "i-1"}})
+	case "tell":
+		b.member.TellCrash(now, 9, "i-2")
+	default:
+		t.Fatalf("unknown command %q", f[1])
+	}
+}
