--- a/forward/forward.go
+++ b/forward/forward.go
@@ -56,6 +56,7 @@
 	Server      route.Server
 	Connections int // connections that this VM may open to the upstream
 	Deadline    time.Time
+	Careful     bool // the request may run once only, so it is not sent on a connection that may be dead
 }
 
 // Pending is an attempt under way.
--- a/forward/query.go
+++ b/forward/query.go
@@ -201,6 +201,7 @@
 	q.mu.Unlock()
 	p := q.vm.sender.Send(Attempt{
 		Request: q.req, Server: ticket.Server, Connections: q.vm.connections(service), Deadline: q.deadline,
+		Careful: !q.route.Idempotent,
 	}, func(reply Reply) {
 		q.vm.work.Submit(func() { q.take(a, s, reply) })
 	})
--- a/transport/http1/http1.go
+++ b/transport/http1/http1.go
@@ -23,6 +23,9 @@
 	Host   string
 	Header []Header
 	Body   []byte
+	// MaxIdle is how long a connection may have been idle to carry the call; 0 for any time. An upstream may
+	// drop an idle connection without notice, and a call that must not be lost is not sent on one.
+	MaxIdle time.Duration
 	// Mine tells whether an answer with the given header belongs to this call; nil accepts every answer.
 	Mine func(h http.Header) bool
 }
--- a/transport/http1/pool.go
+++ b/transport/http1/pool.go
@@ -145,7 +145,10 @@
 		p.hosts[address] = h
 	}
 	for len(h.idle) > 0 {
-		c := h.idle[len(h.idle)-1]
+		c := h.idle[len(h.idle)-1] // the one that was used last; if it is too old, all are
+		if most := e.call.MaxIdle; most > 0 && now.Sub(c.idleSince) > most && h.open < limit {
+			break
+		}
 		h.idle = h.idle[:len(h.idle)-1]
 		if c.usable(now) {
 			p.counts.Reused++
--- a/transport/http1/pool_test.go
+++ b/transport/http1/pool_test.go
@@ -223,6 +223,26 @@
 	_ = h.server.Close()
 }
 
+// TestMaxIdle guards that a call that must not be lost is not sent on a connection that was idle for long.
+func TestMaxIdle(t *testing.T) {
+	h := newHeld(t)
+	p := New(nil)
+	done := make(chan Failure, 1)
+	for _, most := range []time.Duration{0, 0, time.Nanosecond} {
+		h.answer <- struct{}{}
+		p.Start(h.address, 4, &Call{Method: "GET", Target: "/", Host: "h", MaxIdle: most}, func(_ Response, f Failure) { done <- f })
+		if got := <-done; got != None {
+			t.Errorf("got %v, want an answer", got)
+		}
+		waitParked(p)
+	}
+	if got := p.Counts(); got.Dialed != 2 || got.Reused != 1 {
+		t.Errorf("got %+v, want the third call on a connection of its own", got)
+	}
+	p.Close()
+	_ = h.server.Close()
+}
+
 // TestClose guards that the upstream learns at once that nobody waits, and that a call that waits for a
 // connection is never sent once it was given up.
 func TestClose(t *testing.T) {
