--- a/cmd/pistachio-vm/main.go
+++ b/cmd/pistachio-vm/main.go
@@ -12,7 +12,7 @@
 
 // commands are the commands of the program.
 type commands struct {
-	Serve serveCommand `cmd:"" default:"1" help:"Serve requests until SIGTERM, with the settings that PISTACHIOSHORE_SETTINGS names."`
+	Serve serveCommand `cmd:"" default:"1" help:"Serve requests until SIGTERM, with the settings file that the platform names in the environment."`
 	Check checkCommand `cmd:"" help:"Check the settings file and print the first fault."`
 }
 
--- a/event/event.go
+++ b/event/event.go
@@ -21,7 +21,6 @@
 	Stopped
 	Reloaded
 	Ready
-	NotReady
 	ConfigAccepted
 	ConfigRejected
 	ZoneEvacuated
@@ -42,7 +41,7 @@
 
 var kindNames = [kinds]string{
 	"none", "refused", "failed", "partial", "attempt", "hedged", "abandoned", "answered",
-	"started", "stopping", "stopped", "reloaded", "ready", "not-ready", "config-accepted", "config-rejected",
+	"started", "stopping", "stopped", "reloaded", "ready", "config-accepted", "config-rejected",
 	"zone-evacuated", "isolated", "server-changed", "entry-rejected", "crash-suspected", "store-lost", "store-regained", "peer-lost", "peer-found",
 	"paused", "dropped", "problem",
 }
--- a/event/story/story.go
+++ b/event/story/story.go
@@ -177,7 +177,7 @@
 		}
 	case event.StoreRegained.String():
 		delete(b.others, event.StoreLost.String())
-	case event.StoreLost.String(), event.Paused.String(), event.Stopping.String(), event.NotReady.String():
+	case event.StoreLost.String(), event.Paused.String(), event.Stopping.String():
 		b.others[l.Event] = l
 	}
 }
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -21,11 +21,12 @@
 
 // merged returns the greatest records of the shards that answered.
 func (q *query) merged(g gather.Answer[*Response]) Answer {
-	a := Answer{Code: g.Code, Missing: len(g.Missing), Sharded: true}
+	a := Answer{Code: g.Code, Sharded: true}
 	if len(g.Covered) == 0 || g.Share() < q.route.MinCoverage {
 		a.Code = q.failed(g)
 		return q.ended(a, g)
 	}
+	a.Missing = len(g.Missing)
 	bodies := make([][]byte, 0, len(g.Parts))
 	for _, p := range g.Parts {
 		bodies = append(bodies, p.Body)
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -81,14 +81,13 @@
 	Response   *Response     // of the one upstream that answered
 	Records    []byte        // merged records of a sharded route
 	Stamps     []string      // signatures of the shards in Records
-	Missing    int           // shards that Records lack
+	Missing    int           // shards that Records lack; 0 for a failure
 	RetryAfter time.Duration // for a refusal: when there will be room; 0 if it is not known
 	Sharded    bool
 }
 
 // Settings are what a VM learns from its platform before it starts.
 type Settings struct {
-	Replica     replica.Settings
 	RetryShare  float64 // attempts beyond the first for each request, over all VMs
 	RetryBurst  int     // attempts beyond that in the window of the platform, over all VMs
 	MaxInFlight int     // requests that this VM serves at once
--- a/forward/query.go
+++ b/forward/query.go
@@ -160,7 +160,7 @@
 	case <-q.done:
 	case <-ctx.Done():
 		q.leave()
-		q.vm.stats.abandoned(q.route.Name)
+		q.vm.stats.abandoned()
 		q.vm.events.Record(event.Abandoned, q.fields()...)
 		return Answer{Code: result.Cancelled}
 	}
--- a/forward/stats.go
+++ b/forward/stats.go
@@ -100,7 +100,7 @@
 	})
 }
 
-func (s *Stats) abandoned(string) {
+func (s *Stats) abandoned() {
 	s.state.With(func(c *Snapshot) { c.Abandoned++ })
 }
 
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -75,27 +75,11 @@
 	return table.Read(t.state, func(st *state) bool { return st.remove(now, id, until) })
 }
 
-// Known returns the ids of all replicas.
-func (t *Table) Known() []string {
-	return table.Read(t.state, func(st *state) []string {
-		ids := make([]string, 0, len(st.replicas))
-		for id := range st.replicas {
-			ids = append(ids, id)
-		}
-		return ids
-	})
-}
-
 // Has reports whether the service has any replica.
 func (t *Table) Has(service string) bool {
 	return table.Read(t.state, func(st *state) bool { return len(st.services[service]) > 0 })
 }
 
-// Servers returns all replicas that are not about to be removed.
-func (t *Table) Servers(now time.Time) []route.Server {
-	return table.Read(t.state, func(st *state) []route.Server { return st.servers(now) })
-}
-
 // SetEvacuated replaces the zones whose replicas get nothing.
 func (t *Table) SetEvacuated(zones map[string]bool) {
 	t.state.With(func(st *state) { st.evacuated = zones })
--- a/replica/state.go
+++ b/replica/state.go
@@ -65,18 +65,6 @@
 	}
 }
 
-func (st *state) servers(now time.Time) []route.Server {
-	list := make([]route.Server, 0, len(st.replicas))
-	for _, r := range st.replicas {
-		if r.removeAt.IsZero() {
-			s := r.server
-			s.WarmupLeft = max(r.coldUntil.Sub(now), 0)
-			list = append(list, s)
-		}
-	}
-	return list
-}
-
 // open reports whether the replica may get requests at all.
 func (st *state) open(now time.Time, r *replica, regions []string) bool {
 	if r.server.Draining || r.misplaced || r.removed(now) || st.evacuated[r.server.Zone] {
