Close an attempt whose client leaves while it is being sent

Cause: an attempt given up between the start of its sending and the return of the sender kept running, because there was nothing to close yet; found by reading. The stand-in's entry is a type now.

--- a/forward/query.go
+++ b/forward/query.go
@@ -23,7 +23,6 @@
 	cfg      *route.Config
 	route    *route.Route
 	deadline time.Time
-	answerBy time.Time
 	finger   uint64 // fingerprint of what the request asks for
 	state    *gather.Query[*Response]
 	shards   []catalog.Shard
@@ -43,9 +42,10 @@
 
 // sent is an attempt that has left.
 type sent struct {
-	pending Pending
-	ticket  replica.Ticket
-	at      time.Time
+	pending   Pending // nil until Send has returned
+	ticket    replica.Ticket
+	at        time.Time
+	withdrawn bool // given up, perhaps before Send has returned
 }
 
 func newQuery(vm *VM, req *Request, cfg *route.Config, r *route.Route, fingerprint uint64) *query {
@@ -72,7 +72,6 @@
 		p.MinimumCoverage = q.route.MinCoverage
 		if q.route.Target > 0 {
 			p.AnswerBy = q.req.Arrived.Add(q.route.Target - q.req.Transit - returnPath)
-			q.answerBy = p.AnswerBy
 		}
 	}
 	reachable := 0
@@ -207,7 +206,11 @@
 	})
 	q.mu.Lock()
 	s.pending = p
+	withdrawn := s.withdrawn
 	q.mu.Unlock()
+	if withdrawn {
+		p.Close()
+	}
 }
 
 // note records an attempt beyond the first.
@@ -275,51 +278,58 @@
 	key := attemptKey{a.Shard, a.Number}
 	s := q.pending[key]
 	delete(q.pending, key)
+	var p Pending
+	if s != nil {
+		s.withdrawn = true
+		p = s.pending
+	}
 	q.mu.Unlock()
 	if s != nil {
-		q.vm.withdraw(s, q.route.Name, false)
+		q.vm.withdraw(s, p, q.route.Name, false)
 	}
 }
 
 // release gives up what is still pending after the answer.
 func (q *query) release() {
-	for _, s := range q.drain() {
-		q.vm.withdraw(s, q.route.Name, false)
+	for s, p := range q.drain() {
+		q.vm.withdraw(s, p, q.route.Name, false)
 	}
 }
 
 // leave tells the upstreams that the client has gone.
 func (q *query) leave() {
 	q.state.Stop()
-	for _, s := range q.drain() {
-		q.vm.withdraw(s, q.route.Name, true)
+	for s, p := range q.drain() {
+		q.vm.withdraw(s, p, q.route.Name, true)
 	}
 }
 
-func (q *query) drain() []*sent {
+// drain gives up all attempts; those whose Send has not returned are closed when it does.
+func (q *query) drain() map[*sent]Pending {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	list := make([]*sent, 0, len(q.pending))
+	all := make(map[*sent]Pending, len(q.pending))
 	for key, s := range q.pending {
-		list = append(list, s)
+		s.withdrawn = true
+		all[s] = s.pending
 		delete(q.pending, key)
 	}
-	return list
+	return all
 }
 
 // withdraw gives up one attempt.
-func (vm *VM) withdraw(s *sent, group string, hangUp bool) {
+func (vm *VM) withdraw(s *sent, p Pending, group string, hangUp bool) {
 	now := time.Now()
 	vm.replicas.End(now, s.ticket, replica.Result{
 		Ending: replica.Withdrawn, Elapsed: now.Sub(s.at), Typical: vm.latency.Typical(group),
 	})
 	vm.latency.ObserveAtLeast(now, group, now.Sub(s.at))
 	switch {
-	case s.pending == nil:
+	case p == nil:
 	case hangUp:
-		s.pending.Close()
+		p.Close()
 	default:
-		s.pending.Abandon(lateAnswer)
+		p.Abandon(lateAnswer)
 	}
 }
 
--- a/standin/shard/shard.go
+++ b/standin/shard/shard.go
@@ -89,13 +89,26 @@
 
 // Entry returns what the server writes of itself into the store.
 func (s *Server) Entry(status string) []byte {
-	b, _ := json.Marshal(map[string]any{ // strings and numbers only: it cannot fail
-		"service": s.service, "address": s.Address().String(), "zone": s.zone, "version": "v1", "capacity": 3,
-		"state": status, "warmupLeftMs": 0, "sequence": 1, "born": time.Now().UnixMilli(),
+	b, _ := json.Marshal(entry{ // strings and numbers only: it cannot fail
+		Service: s.service, Address: s.Address(), Zone: s.zone, Version: "v1", Capacity: 3,
+		State: status, Sequence: 1, Born: time.Now().UnixMilli(),
 	})
 	return b
 }
 
+// entry is what a server writes of itself.
+type entry struct {
+	Service      string         `json:"service"`
+	Address      netip.AddrPort `json:"address"`
+	Zone         string         `json:"zone"`
+	Version      string         `json:"version"`
+	Capacity     int            `json:"capacity"`
+	State        string         `json:"state"`
+	WarmupLeftMs int            `json:"warmupLeftMs"`
+	Sequence     int            `json:"sequence"`
+	Born         int64          `json:"born"`
+}
+
 // Behave changes how requests are treated from now on.
 func (s *Server) Behave(b Behaviour) {
 	s.state.With(func(st *state) { st.behaviour = b })
