--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -7,6 +7,11 @@
 if [ -s KNOWN-RED.txt ]; then
   echo "passed over, see KNOWN-RED.txt:"
   cat KNOWN-RED.txt
-  skip=(-skip "^($(cut -d: -f1 KNOWN-RED.txt | paste -sd'|'))\$")
+  # A line that begins with a test's name has the whole test passed over; one that begins with "red:" is
+  # read by the test that it names, which passes over no more than that.
+  names=$(grep -oE '^Test[A-Za-z0-9_/]+' KNOWN-RED.txt | paste -sd'|' || true)
+  if [ -n "$names" ]; then
+    skip=(-skip "^($names)\$")
+  fi
 fi
 go test -race -count=1 -timeout 10m "${skip[@]}" "$@" work
