--- a/transport/http1/conn.go
+++ b/transport/http1/conn.go
@@ -150,11 +150,6 @@
 	}
 }
 
-// close ends an idle connection.
-func (c *conn) close() {
-	c.breakOff()
-}
-
 // breakOff closes the connection once.
 func (c *conn) breakOff() {
 	c.mu.Lock()
--- a/transport/http1/exchange.go
+++ b/transport/http1/exchange.go
@@ -11,10 +11,9 @@
 	call *Call
 	done Done
 
-	mu      sync.Mutex
-	conn    *conn // nil before a connection is there
-	over    bool  // done was called, or nobody waits for it
-	dropped bool  // the connection is to be closed
+	mu   sync.Mutex
+	conn *conn // nil before a connection is there
+	over bool  // done was called, or nobody waits for it
 }
 
 // Abandon gives the exchange up: done is not called any more. The connection is kept if the answer
@@ -38,7 +37,6 @@
 func (e *Exchange) Close() {
 	e.mu.Lock()
 	e.over = true
-	e.dropped = true
 	c := e.conn
 	e.mu.Unlock()
 	if c != nil {
--- a/transport/http1/pool.go
+++ b/transport/http1/pool.go
@@ -100,7 +100,7 @@
 	}
 	p.mu.Unlock()
 	for _, c := range idle {
-		c.close()
+		c.breakOff()
 	}
 }
 
@@ -136,7 +136,7 @@
 	defer func() {
 		p.mu.Unlock()
 		for _, c := range stale {
-			c.close()
+			c.breakOff()
 		}
 	}()
 	h := p.hosts[address]
@@ -212,7 +212,7 @@
 	p.mu.Unlock()
 	switch {
 	case !keep:
-		c.close()
+		c.breakOff()
 	case e != nil:
 		p.write(c, e)
 	}
