Have aggregators fan queries out for the other VMs of a large tier

Cause: on the grown deployment of Armor (91 VMs, 90 shards) every VM fanned out by itself and sent heartbeats to all others. A VM there has 0.19 of a core, so 90 sub-requests take most of the urgent route's 80 ms, and with one connection to each server a quarter of the sub-requests opened a new one. 8,190 links with heartbeats and pings made most of the traffic between zones.

Ruled out: the servers.

Change: above 16 VMs the two VMs of each zone with the most processor are aggregators. The others keep in touch with these only and pass queries over shards on to them over WebSocket and CBOR. A query that an aggregator does not take in 60 ms, or that its connection lost, goes to a second one, within a budget. The shares of connections, retries and cold starts follow who sends. Small tiers work as before.

--- /dev/null
+++ b/aggregator/roster.go
@@ -0,0 +1,202 @@
+package aggregator
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"pistachioshore.dev/table"
+)
+
+// Roster is a tier as one of its VMs knows it; it is safe for concurrent use.
+//
+// In a small tier each VM keeps in touch with all others. In a large one a VM keeps in touch with the
+// aggregators, and these with all VMs that keep in touch with them.
+type Roster struct {
+	state *table.Guarded[roster]
+}
+
+type roster struct {
+	self    VM
+	started time.Time
+	leaving bool
+	members map[netip.AddrPort]*member
+}
+
+// member is another VM.
+type member struct {
+	VM
+	found       time.Time // first heartbeat of the VM
+	heard       time.Time // last one; zero if there was none
+	reported    time.Time // last heartbeat that another VM told of
+	zoneMembers int       // VMs of its zone that it knows
+	leaving     bool
+}
+
+// NewRoster returns the roster of a VM that started at now and knows no other.
+func NewRoster(self VM, now time.Time) *Roster {
+	return &Roster{state: table.NewGuarded(table.RankPending, roster{self: self, started: now, members: map[netip.AddrPort]*member{}})}
+}
+
+// Beat is what a heartbeat tells of its sender.
+type Beat struct {
+	VM
+	ZoneMembers int // VMs of its zone that the sender knows, itself included
+	Leaving     bool
+}
+
+// Hear takes a heartbeat and reports whether its sender is new.
+func (r *Roster) Hear(now time.Time, b Beat) bool {
+	return table.Read(r.state, func(s *roster) bool {
+		m := s.member(b.Address)
+		isNew := m.heard.IsZero() || now.Sub(m.heard) >= remembered
+		if isNew {
+			m.found = now
+		}
+		m.VM, m.heard, m.zoneMembers, m.leaving = b.VM, now, b.ZoneMembers, b.Leaving
+		return isNew
+	})
+}
+
+// Report takes an aggregator that another VM has heard at the given time.
+func (r *Roster) Report(vm VM, heard time.Time) {
+	r.state.With(func(s *roster) {
+		if vm.Address == s.self.Address {
+			return
+		}
+		m := s.member(vm.Address)
+		if m.heard.IsZero() {
+			m.VM = vm
+		}
+		if heard.After(m.reported) {
+			m.reported = heard
+		}
+	})
+}
+
+// Leave notes that this VM is about to stop.
+func (r *Roster) Leave() {
+	r.state.With(func(s *roster) { s.leaving = true })
+}
+
+// Count returns the number of VMs, this one included. One that fell silent counts for a while: behind a
+// partition it goes on sending.
+func (r *Roster) Count(now time.Time) int {
+	return table.Read(r.state, func(s *roster) int { return s.count(now) })
+}
+
+// ZoneMembers returns the number of VMs known in this VM's zone, itself included.
+func (r *Roster) ZoneMembers(now time.Time) int {
+	return table.Read(r.state, func(s *roster) int { return s.known(now)[s.self.Zone] })
+}
+
+// Aggregators returns the aggregators of a large tier, and none for a small one.
+func (r *Roster) Aggregators(now time.Time) []VM {
+	return table.Read(r.state, func(s *roster) []VM { return s.aggregators(now) })
+}
+
+// Linked reports whether this VM keeps in touch with another one.
+func (r *Roster) Linked(now time.Time, vm netip.AddrPort) bool {
+	return table.Read(r.state, func(s *roster) bool { return s.linked(now, vm) })
+}
+
+// Heard returns when the VM was last heard, by this VM or one that told it; zero if it never was.
+func (r *Roster) Heard(vm netip.AddrPort) time.Time {
+	return table.Read(r.state, func(s *roster) time.Time {
+		m, ok := s.members[vm]
+		if !ok {
+			return time.Time{}
+		}
+		return m.last()
+	})
+}
+
+func (s *roster) member(vm netip.AddrPort) *member {
+	m, ok := s.members[vm]
+	if !ok {
+		m = &member{VM: VM{Address: vm}}
+		s.members[vm] = m
+	}
+	return m
+}
+
+func (m *member) last() time.Time {
+	if m.reported.After(m.heard) {
+		return m.reported
+	}
+	return m.heard
+}
+
+// known counts the VMs of each zone that were heard of lately.
+func (s *roster) known(now time.Time) map[string]int {
+	zones := map[string]int{s.self.Zone: 1}
+	for _, m := range s.members {
+		if now.Sub(m.last()) < remembered {
+			zones[m.Zone]++
+		}
+	}
+	return zones
+}
+
+// count takes for each zone the greatest number that a VM there knows, because no VM of a large tier hears
+// all others.
+func (s *roster) count(now time.Time) int {
+	zones := s.known(now)
+	for _, m := range s.members {
+		if now.Sub(m.heard) < remembered {
+			zones[m.Zone] = max(zones[m.Zone], m.zoneMembers)
+		}
+	}
+	n := 0
+	for _, members := range zones {
+		n += members
+	}
+	if now.Sub(s.started) < settled {
+		return max(n, assumedMembers)
+	}
+	return n
+}
+
+func (s *roster) aggregators(now time.Time) []VM {
+	if s.count(now) <= meshLimit {
+		return nil
+	}
+	var live []VM
+	if !s.leaving {
+		live = append(live, s.self)
+	}
+	for _, m := range s.members {
+		if !m.leaving && m.Zone != "" && now.Sub(m.last()) < silentAfter {
+			live = append(live, m.VM)
+		}
+	}
+	return Choose(live, perZone)
+}
+
+func (s *roster) linked(now time.Time, vm netip.AddrPort) bool {
+	chosen := s.aggregators(now)
+	m, ok := s.members[vm]
+	switch {
+	case len(chosen) == 0:
+		return true
+	case ok && !m.found.IsZero() && now.Sub(m.found) < introduction:
+		return true
+	case slices.ContainsFunc(chosen, func(c VM) bool { return c.Address == s.self.Address }):
+		return slices.ContainsFunc(chosen, func(c VM) bool { return c.Address == vm }) ||
+			(ok && now.Sub(m.heard) < silentAfter)
+	}
+	return slices.ContainsFunc(s.links(chosen), func(c VM) bool { return c.Address == vm })
+}
+
+// links returns the aggregators that a VM which is none keeps in touch with: those of its own zone, and a few
+// of other zones in case its own are lost.
+func (s *roster) links(chosen []VM) []VM {
+	away := 0
+	return slices.DeleteFunc(slices.Clone(chosen), func(c VM) bool {
+		if c.Zone == s.self.Zone {
+			return false
+		}
+		away++
+		return away > awayLinks
+	})
+}
--- a/codec/envelope.go
+++ b/codec/envelope.go
@@ -27,6 +27,10 @@
 		{"order-forward", e.OrderForward != nil},
 		{"order-result", e.OrderResult != nil},
 		{"parts", e.Parts != nil},
+		{"query-accept", e.QueryAccept != nil},
+		{"query-cancel", e.QueryCancel != nil},
+		{"query-forward", e.QueryForward != nil},
+		{"query-result", e.QueryResult != nil},
 		{"sub-requests", e.SubRequests != nil},
 	}
 }
--- a/codec/kinds.go
+++ b/codec/kinds.go
@@ -15,4 +15,8 @@
 	KindCanaryRequest = "canary-request"
 	KindCanaryVerdict = "canary-verdict"
 	KindCanaryReport  = "canary-report"
+	KindQueryForward  = "query-forward"
+	KindQueryAccept   = "query-accept"
+	KindQueryResult   = "query-result"
+	KindQueryCancel   = "query-cancel"
 )
--- a/event/event.go
+++ b/event/event.go
@@ -8,13 +8,15 @@
 
 // The kinds. Those up to Answered touch one request.
 const (
-	Refused   Kind = iota + 1 // a request was refused without being run
-	Failed                    // a request ended without a good answer after it may have run
-	Partial                   // an answer lacks shards
-	Attempt                   // an attempt ended otherwise than with a good answer
-	Hedged                    // a second attempt was sent because the first is late
-	Abandoned                 // the client left
-	Answered                  // a request was answered in full
+	Refused     Kind = iota + 1 // a request was refused without being run
+	Failed                      // a request ended without a good answer after it may have run
+	Partial                     // an answer lacks shards
+	Attempt                     // an attempt ended otherwise than with a good answer
+	Hedged                      // a second attempt was sent because the first is late
+	Abandoned                   // the client left
+	Relayed                     // another VM answered a query for this one
+	RelayFailed                 // another VM did not take a query that was passed on to it
+	Answered                    // a request was answered in full
 
 	Started
 	Stopping
@@ -40,7 +42,7 @@
 )
 
 var kindNames = [kinds]string{
-	"none", "refused", "failed", "partial", "attempt", "hedged", "abandoned", "answered",
+	"none", "refused", "failed", "partial", "attempt", "hedged", "abandoned", "relayed", "relay-failed", "answered",
 	"started", "stopping", "stopped", "reloaded", "ready", "config-accepted", "config-rejected",
 	"zone-evacuated", "isolated", "server-changed", "entry-rejected", "crash-suspected", "store-lost", "store-regained", "peer-lost", "peer-found",
 	"paused", "dropped", "problem",
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"pistachioshore.dev/replica"
@@ -31,6 +32,8 @@
 	Deadline time.Time // when the client stops waiting; zero if it named none
 	// Transit is the time that the request and its answer spend between client and VM, with the opening of the connection.
 	Transit time.Duration
+	Relayed bool   // another VM took it from the client and passed it on
+	Version uint64 // least configuration version that may answer; 0 for any
 }
 
 // Response is what an upstream answered.
@@ -86,6 +89,13 @@
 	Sharded    bool
 }
 
+// Relay has other VMs answer queries over shards.
+type Relay interface {
+	// Relay passes the query on to a VM that has the given configuration version or a newer one, and returns
+	// its answer by the time until and the VM that gave it. It returns false if there is none, or none took the query.
+	Relay(ctx context.Context, req *Request, version uint64, until time.Time) (Answer, netip.AddrPort, bool)
+}
+
 // Settings are what a VM learns from its platform before it starts.
 type Settings struct {
 	RetryShare  float64 // attempts beyond the first for each request, over all VMs
--- a/forward/query.go
+++ b/forward/query.go
@@ -8,12 +8,14 @@
 	"sync"
 	"time"
 
+	"pistachioshore.dev/aggregator"
 	"pistachioshore.dev/catalog"
 	"pistachioshore.dev/event"
 	"pistachioshore.dev/gather"
 	"pistachioshore.dev/replica"
 	"pistachioshore.dev/result"
 	"pistachioshore.dev/route"
+	"pistachioshore.dev/table"
 )
 
 // query is one request under way.
@@ -55,7 +57,7 @@
 // plan chooses the shards and their replicas. It returns a code if the request cannot be served now.
 func (q *query) plan() (result.Code, string) {
 	now := time.Now()
-	q.deadline = q.limit()
+	q.deadline = deadline(q.req, q.route)
 	if !q.deadline.After(now) {
 		return result.DeadlineExpired, "no time is left"
 	}
@@ -86,7 +88,7 @@
 	if reachable == 0 || float64(reachable) < p.MinimumCoverage*float64(len(p.Shards)) {
 		return result.Unreachable, q.vm.unreachable(now, reachable, len(p.Shards))
 	}
-	q.state = gather.New[*Response](p, q, q.vm.budgets, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	q.state = gather.New[*Response](p, q, q.budgets(), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	return 0, ""
 }
 
@@ -99,14 +101,14 @@
 	return why
 }
 
-// limit returns the time at which the client has left or the operator wants the request ended.
-func (q *query) limit() time.Time {
-	end := q.req.Deadline
+// deadline returns the time at which the client has left or the operator wants the request ended.
+func deadline(req *Request, r *route.Route) time.Time {
+	end := req.Deadline
 	if end.IsZero() {
-		end = q.req.Arrived.Add(defaultDeadline)
+		end = req.Arrived.Add(defaultDeadline)
 	}
-	if q.route.Timeout > 0 {
-		if t := q.req.Arrived.Add(q.route.Timeout - q.req.Transit); t.Before(end) {
+	if r.Timeout > 0 {
+		if t := req.Arrived.Add(r.Timeout - req.Transit); t.Before(end) {
 			end = t
 		}
 	}
@@ -199,7 +201,7 @@
 	q.pending[key] = s
 	q.mu.Unlock()
 	p := q.vm.sender.Send(Attempt{
-		Request: q.req, Server: ticket.Server, Connections: q.vm.connections(service), Deadline: q.deadline,
+		Request: q.req, Server: ticket.Server, Connections: q.connections(service), Deadline: q.deadline,
 		Careful: !q.route.Idempotent,
 	}, func(reply Reply) {
 		q.vm.work.Submit(func() { q.take(a, s, reply) })
@@ -226,7 +228,7 @@
 		service := q.shards[a.Shard].Service
 		q.vm.events.Record(event.Hedged, event.F(event.Request, q.req.ID), event.F(event.Service, service),
 			event.F(event.Server, a.Server), event.F(event.Number, a.Number), event.F(event.After, q.HedgeDelay(q.route.Name)),
-			event.F(event.Elapsed, now.Sub(q.req.Arrived)), event.F(event.Left, q.vm.budgets.Level(service)))
+			event.F(event.Elapsed, now.Sub(q.req.Arrived)), event.F(event.Left, q.budgets().Level(service)))
 	}
 }
 
@@ -351,13 +353,24 @@
 }
 
 // connections returns the connections that this VM may open to one upstream of the service.
-func (vm *VM) connections(s route.Service) int {
+func (q *query) connections(s route.Service) int {
 	if s.MaxConnections <= 0 {
 		return mostConnections
 	}
-	var members int
-	vm.load.With(func(l *inFlight) { members = l.members })
-	return max(s.MaxConnections/members, 1)
+	shares := table.Read(q.vm.load, func(l *inFlight) aggregator.Shares { return l.shares })
+	part := shares.Single()
+	if q.route.Sharded() {
+		part = shares.Sharded()
+	}
+	return max(int(float64(s.MaxConnections)*part), 1)
+}
+
+// budgets returns the attempts beyond the first that the request may use.
+func (q *query) budgets() *budgets {
+	if q.route.Sharded() {
+		return q.vm.shardBudgets
+	}
+	return q.vm.budgets
 }
 
 // fields returns what every line about the query says.
--- a/forward/vm.go
+++ b/forward/vm.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"time"
 
+	"pistachioshore.dev/aggregator"
 	"pistachioshore.dev/balancer"
 	"pistachioshore.dev/event"
 	"pistachioshore.dev/pool"
@@ -22,12 +24,15 @@
 	replicas *replica.Table
 	splitter *route.Splitter
 	latency  *balancer.Latency
-	budgets  *budgets
-	sender   Sender
-	events   event.Recorder
-	stats    *Stats
-	suspects *quarantine.Suspects
-	crashed  func(fingerprint uint64, server string) // tells the other VMs
+	budgets  *budgets // of requests to one upstream
+
+	shardBudgets *budgets // of queries over shards, which other VMs send in other parts
+	relay        Relay    // nil if this VM fans all queries out itself
+	sender       Sender
+	events       event.Recorder
+	stats        *Stats
+	suspects     *quarantine.Suspects
+	crashed      func(fingerprint uint64, server string) // tells the other VMs
 
 	work   *pool.Pool[func()]
 	timers *pool.Timers[func()]
@@ -37,7 +42,7 @@
 // inFlight counts what the VM is doing.
 type inFlight struct {
 	requests int
-	members  int
+	shares   aggregator.Shares
 	refusing bool
 	isolated bool
 	checked  time.Time // when zones that are cut off were last checked
@@ -52,14 +57,16 @@
 		splitter: route.NewSplitter(),
 		latency:  balancer.NewLatency(latencySettings()),
 		budgets:  newBudgets(s.RetryShare * budgetUse),
-		stats:    newStats(),
-		suspects: quarantine.NewSuspects(quarantine.SuspectDefaults()),
-		crashed:  func(uint64, string) {},
-		load:     table.NewGuarded(table.RankPending, inFlight{members: 1}),
+
+		shardBudgets: newBudgets(s.RetryShare * budgetUse),
+		stats:        newStats(),
+		suspects:     quarantine.NewSuspects(quarantine.SuspectDefaults()),
+		crashed:      func(uint64, string) {},
+		load:         table.NewGuarded(table.RankPending, inFlight{shares: aggregator.Shares{Members: 1}}),
 	}
 	vm.work = pool.New(s.Workers, func(task func()) { task() })
 	vm.timers = pool.NewTimers[func()](vm.work)
-	vm.SetMembers(1)
+	vm.Share(aggregator.Shares{Members: 1})
 	return vm
 }
 
@@ -70,12 +77,18 @@
 	return s
 }
 
-// SetMembers sets the number of VMs that share the limits of upstreams and budgets.
-func (vm *VM) SetMembers(n int) {
-	n = max(n, 1)
-	vm.load.With(func(l *inFlight) { l.members = n })
-	vm.replicas.SetMembers(n)
-	vm.budgets.setBurst(float64(vm.settings.RetryBurst) * budgetUse / float64(n))
+// Share sets how many VMs share the limits of upstreams and budgets.
+func (vm *VM) Share(s aggregator.Shares) {
+	vm.load.With(func(l *inFlight) { l.shares = s })
+	vm.replicas.SetMembers(s.Cold())
+	burst := float64(vm.settings.RetryBurst) * budgetUse
+	vm.budgets.setBurst(burst * s.Single())
+	vm.shardBudgets.setBurst(burst * s.Sharded())
+}
+
+// PassOn sets the relay that has other VMs answer queries over shards.
+func (vm *VM) PassOn(r Relay) {
+	vm.relay = r
 }
 
 // OnCrash sets what is told of each upstream that crashed under a request.
@@ -110,7 +123,9 @@
 
 // Budgets returns the attempts beyond the first that may be sent to each service now.
 func (vm *VM) Budgets() map[string]float64 {
-	return vm.budgets.levels()
+	levels := vm.budgets.levels()
+	maps.Copy(levels, vm.shardBudgets.levels())
+	return levels
 }
 
 // Close ends the workers; no request may be under way.
@@ -125,6 +140,9 @@
 	if cfg == nil {
 		return vm.refuse(req, nil, 0, result.NotReady, "no configuration yet")
 	}
+	if cfg.Version < req.Version {
+		return vm.refuse(req, nil, cfg.Version, result.NotReady, "the VM that passed the query on knows a newer configuration")
+	}
 	r, ok := cfg.Match(req.Host, req.Path)
 	if !ok {
 		return vm.refuse(req, nil, cfg.Version, result.UnknownRoute, "no route for host and path")
@@ -137,6 +155,9 @@
 		return vm.refuse(req, r, cfg.Version, code, why)
 	}
 	defer vm.load.With(func(l *inFlight) { l.requests-- })
+	if a, ok := vm.passOn(ctx, req, cfg, r); ok {
+		return a
+	}
 	q := newQuery(vm, req, cfg, r, fingerprint)
 	if code, why := q.plan(); code != 0 {
 		return vm.refuse(req, r, cfg.Version, code, why)
@@ -144,6 +165,22 @@
 	return q.run(ctx)
 }
 
+// passOn has another VM answer a query over shards; it returns false if this VM has to do so itself.
+func (vm *VM) passOn(ctx context.Context, req *Request, cfg *route.Config, r *route.Route) (Answer, bool) {
+	if vm.relay == nil || req.Relayed || !r.Sharded() {
+		return Answer{}, false
+	}
+	a, by, ok := vm.relay.Relay(ctx, req, cfg.Version, deadline(req, r))
+	if !ok {
+		return Answer{}, false
+	}
+	elapsed := time.Since(req.Arrived)
+	vm.stats.ended(r.Name, a.Code, elapsed)
+	vm.events.Record(event.Relayed, event.F(event.Request, req.ID), event.F(event.Route, r.Name), event.F(event.Version, cfg.Version),
+		event.F(event.Peer, by), event.F(event.Code, a.Code), event.F(event.Covered, len(a.Stamps)), event.F(event.Elapsed, elapsed))
+	return a, true
+}
+
 // admit counts a request as in flight unless the VM has no room for it.
 func (vm *VM) admit() (code result.Code, why string) {
 	vm.load.With(func(l *inFlight) {
--- a/member/member.go
+++ b/member/member.go
@@ -4,9 +4,12 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
+	"slices"
 	"time"
 
+	"pistachioshore.dev/aggregator"
 	"pistachioshore.dev/codec"
 	"pistachioshore.dev/event"
 	"pistachioshore.dev/fleet"
@@ -30,41 +33,58 @@
 	Import(state []byte) error
 }
 
+// Queries takes the messages about queries that VMs pass on to one another.
+type Queries interface {
+	// Receive takes a message; it must not block.
+	Receive(from netip.AddrPort, e *wire.Envelope)
+	// Lost says that messages sent to the VM may not have arrived.
+	Lost(vm netip.AddrPort)
+}
+
+// Listener learns what the member finds out.
+type Listener interface {
+	// Share is told each change of the VMs that share limits.
+	Share(s aggregator.Shares)
+	// Crashed takes what another VM says of a request under which an upstream crashed, and reports whether it is new.
+	Crashed(fingerprint uint64, server string) bool
+}
+
 // Member is this VM's view of the others; it is safe for concurrent use.
 type Member struct {
-	self     fleet.Self
 	fleet    *fleet.Table
+	roster   *aggregator.Roster
+	chosen   *aggregator.Table
+	self     aggregator.VM
 	peers    transport.Peer
 	state    State
+	queries  Queries
+	listener Listener
 	events   event.Recorder
-	changed  func(members int)
-	crashed  func(fingerprint uint64, server string)
 	work     *pool.Pool[func()]
 	settings fleet.Settings
-	seen     *table.Guarded[sightings]
+	seen     *table.Guarded[contacts]
 }
 
-// sightings are the VMs that were heard lately.
-type sightings struct {
-	last      map[netip.AddrPort]time.Time
-	started   time.Time
+// contacts are what the member has asked and told.
+type contacts struct {
+	linked    map[netip.AddrPort]bool
 	asked     time.Time // when a state was last asked for
-	announced int       // members last told to changed
-	leaving   bool
+	announced aggregator.Shares
 }
 
 var _ socket.Receiver = (*Member)(nil)
 
-// New returns a view that knows no other VM. Changed is told the number of VMs whenever it differs, and
-// crashed what other VMs say of requests under which upstreams crashed.
+// New returns a view that knows no other VM. It keeps the aggregators in chosen up to date.
 func New(
-	self fleet.Self, peers transport.Peer, state State, events event.Recorder, now time.Time,
-	changed func(members int), crashed func(fingerprint uint64, server string),
+	self fleet.Self, cores float64, peers transport.Peer, state State, queries Queries, chosen *aggregator.Table, listener Listener,
+	events event.Recorder, now time.Time,
 ) *Member {
 	s := settings()
+	vm := aggregator.VM{Address: self.Address, Zone: self.Zone, Cores: cores}
 	m := &Member{
-		self: self, fleet: fleet.New(self, s, now), peers: peers, state: state, events: events, changed: changed, crashed: crashed, settings: s,
-		seen: table.NewGuarded(table.RankPending, sightings{last: map[netip.AddrPort]time.Time{}, started: now}),
+		fleet: fleet.New(self, s, now), roster: aggregator.NewRoster(vm, now), chosen: chosen, self: vm,
+		peers: peers, state: state, queries: queries, listener: listener, events: events, settings: s,
+		seen: table.NewGuarded(table.RankShutdown, contacts{linked: map[netip.AddrPort]bool{}}),
 	}
 	m.work = pool.New(1, func(task func()) { task() })
 	return m
@@ -99,26 +119,13 @@
 // Leave tells the others that this VM is about to stop.
 func (m *Member) Leave(now time.Time) {
 	m.fleet.Leave(now)
+	m.roster.Leave()
 	m.heartbeat(now)
 }
 
 // Count returns the number of VMs that share the limits of upstreams, this one included.
 func (m *Member) Count(now time.Time) int {
-	return table.Read(m.seen, func(s *sightings) int { return s.count(now) })
-}
-
-// count takes VMs that fell silent for present for a while: they may go on sending behind a partition.
-func (s *sightings) count(now time.Time) int {
-	n := 1
-	for _, at := range s.last {
-		if now.Sub(at) < remembered {
-			n++
-		}
-	}
-	if now.Sub(s.started) < settled {
-		return max(n, assumedMembers)
-	}
-	return n
+	return m.roster.Count(now)
 }
 
 // tick moves the view on and connects to VMs that are due.
@@ -128,38 +135,94 @@
 		m.events.Record(event.Paused)
 	}
 	for _, vm := range c.Connect {
-		m.peers.Connect(vm)
+		m.link(now, vm)
 	}
 	for _, vm := range c.Died {
-		m.events.Record(event.PeerLost, event.F(event.Peer, vm))
+		if m.roster.Linked(now, vm) {
+			m.events.Record(event.PeerLost, event.F(event.Peer, vm))
+		}
 	}
+	m.unlink(now)
 	m.announce(now)
 }
 
-// announce tells a changed number of VMs.
+// link opens a connection to a VM with which this one keeps in touch.
+func (m *Member) link(now time.Time, vm netip.AddrPort) {
+	if vm == m.self.Address || !m.roster.Linked(now, vm) {
+		return
+	}
+	m.seen.With(func(c *contacts) { c.linked[vm] = true })
+	m.peers.Connect(vm)
+}
+
+// unlink closes the connections to VMs with which this one no longer keeps in touch.
+func (m *Member) unlink(now time.Time) {
+	for _, vm := range m.links() {
+		if m.roster.Linked(now, vm) {
+			continue
+		}
+		m.seen.With(func(c *contacts) { delete(c.linked, vm) })
+		m.peers.Forget(vm)
+	}
+}
+
+// links returns the VMs that a connection is kept to.
+func (m *Member) links() []netip.AddrPort {
+	return table.Read(m.seen, func(c *contacts) []netip.AddrPort {
+		return slices.SortedFunc(maps.Keys(c.linked), netip.AddrPort.Compare)
+	})
+}
+
+// announce tells changes of the tier: the aggregators, and the VMs that share limits.
 func (m *Member) announce(now time.Time) {
-	var n int
-	var differs bool
-	m.seen.With(func(s *sightings) {
-		n = s.count(now)
-		differs = n != s.announced
-		s.announced = n
+	chosen := m.roster.Aggregators(now)
+	m.chosen.Set(chosen)
+	shares := aggregator.Shares{Members: m.roster.Count(now), Aggregators: len(chosen)}
+	shares.Aggregating = slices.ContainsFunc(chosen, func(vm aggregator.VM) bool { return vm.Address == m.self.Address })
+	differs := false
+	m.seen.With(func(c *contacts) {
+		differs = shares != c.announced
+		c.announced = shares
 	})
 	if differs {
-		m.changed(n)
+		m.listener.Share(shares)
 	}
 }
 
 func (m *Member) heartbeat(now time.Time) {
-	h := m.fleet.Heartbeat(now, m.state.Revision(), 0, true)
-	for _, p := range m.fleet.Peers(now) {
-		m.peers.Send(p.Address, &wire.Envelope{Kind: codec.KindHeartbeat, Heartbeat: codec.ToWireHeartbeat(h)})
+	h := codec.ToWireHeartbeat(m.fleet.Heartbeat(now, m.state.Revision(), 0, true))
+	h.Cores = m.self.Cores
+	h.ZoneMembers = m.roster.ZoneMembers(now)
+	if chosen := m.roster.Aggregators(now); len(chosen) > 0 {
+		h.Heard = []wire.HeardPeer{} // in a large tier VMs need to know the aggregators only
+		h.Aggregators = m.toWire(now, chosen)
+	}
+	for _, vm := range m.links() {
+		m.peers.Send(vm, &wire.Envelope{Kind: codec.KindHeartbeat, Heartbeat: h})
 	}
 }
 
+// toWire returns the aggregators with the age of what is known of them.
+func (m *Member) toWire(now time.Time, chosen []aggregator.VM) []wire.TierMember {
+	list := make([]wire.TierMember, 0, len(chosen))
+	for _, vm := range chosen {
+		t := wire.TierMember{VM: vm.Address, Zone: vm.Zone, Cores: vm.Cores}
+		if vm.Address != m.self.Address {
+			t.Age = now.Sub(m.roster.Heard(vm.Address))
+		}
+		list = append(list, t)
+	}
+	return list
+}
+
 // Receive takes a message of another VM.
 func (m *Member) Receive(from netip.AddrPort, e *wire.Envelope) {
-	m.work.Submit(func() { m.handle(time.Now(), from, e) })
+	switch e.Kind {
+	case codec.KindQueryForward, codec.KindQueryAccept, codec.KindQueryResult, codec.KindQueryCancel:
+		m.queries.Receive(from, e)
+	default:
+		m.work.Submit(func() { m.handle(time.Now(), from, e) })
+	}
 }
 
 func (m *Member) handle(now time.Time, from netip.AddrPort, e *wire.Envelope) {
@@ -169,7 +232,7 @@
 	case e.ConfigRequest != nil:
 		m.export(from)
 	case e.CanaryReport != nil:
-		m.crashed(e.CanaryReport.Fingerprint, e.CanaryReport.Upstream)
+		m.hearCrash(now, from, e.CanaryReport)
 	case e.ConfigValue != nil:
 		if err := m.state.Import(e.ConfigValue.Value); err != nil {
 			m.events.Record(event.Problem, event.F(event.Reason, "state of another VM"), event.F(event.Peer, from), event.F(event.Error, err))
@@ -179,32 +242,57 @@
 
 func (m *Member) hear(now time.Time, from netip.AddrPort, h *wire.Heartbeat) {
 	m.fleet.Hear(now, codec.FromWireHeartbeat(from, h))
-	m.peers.Connect(from)
-	var found, ask bool
-	wanted := m.state.Wanted(h.Revision)
-	m.seen.With(func(s *sightings) {
-		_, known := s.last[from]
-		found = !known
-		s.last[from] = now
-		ask = wanted && now.Sub(s.asked) >= askEvery
-		if ask {
-			s.asked = now
-		}
-	})
+	vm := aggregator.VM{Address: from, Zone: h.Zone, Cores: h.Cores}
+	found := m.roster.Hear(now, aggregator.Beat{VM: vm, ZoneMembers: h.ZoneMembers, Leaving: h.Leaving})
+	for _, a := range h.Aggregators {
+		m.roster.Report(aggregator.VM{Address: a.VM, Zone: a.Zone, Cores: a.Cores}, now.Add(-max(a.Age, 0)))
+		m.link(now, a.VM)
+	}
+	m.link(now, from)
 	if found {
 		m.events.Record(event.PeerFound, event.F(event.Peer, from), event.F(event.Zone, h.Zone))
+	}
+	if found || h.Leaving {
 		m.announce(now)
 	}
-	if ask {
+	m.ask(now, from, h.Revision)
+}
+
+// ask asks another VM for its state if that would tell something new.
+func (m *Member) ask(now time.Time, from netip.AddrPort, revision uint64) {
+	if !m.state.Wanted(revision) {
+		return
+	}
+	due := false
+	m.seen.With(func(c *contacts) {
+		due = now.Sub(c.asked) >= askEvery
+		if due {
+			c.asked = now
+		}
+	})
+	if due {
 		m.peers.Send(from, &wire.Envelope{Kind: codec.KindConfigRequest, ConfigRequest: &wire.ConfigRequest{Revision: m.state.Revision()}})
 	}
 }
 
+// hearCrash takes a crash that another VM saw. In a large tier it reached this VM alone, which passes it on.
+func (m *Member) hearCrash(now time.Time, from netip.AddrPort, r *wire.CanaryReport) {
+	if m.listener.Crashed(r.Fingerprint, r.Upstream) && len(m.roster.Aggregators(now)) > 0 {
+		m.tellCrash(now, r.Fingerprint, r.Upstream, from)
+	}
+}
+
 // TellCrash tells the other VMs that an upstream crashed while it ran a request.
 func (m *Member) TellCrash(now time.Time, fingerprint uint64, server string) {
+	m.tellCrash(now, fingerprint, server, m.self.Address)
+}
+
+func (m *Member) tellCrash(now time.Time, fingerprint uint64, server string, from netip.AddrPort) {
 	r := &wire.CanaryReport{Fingerprint: fingerprint, Upstream: server, Outcome: quarantine.Crashed.String(), Until: now}
-	for _, p := range m.fleet.Peers(now) {
-		m.peers.Send(p.Address, &wire.Envelope{Kind: codec.KindCanaryReport, CanaryReport: r})
+	for _, vm := range m.links() {
+		if vm != from {
+			m.peers.Send(vm, &wire.Envelope{Kind: codec.KindCanaryReport, CanaryReport: r})
+		}
 	}
 }
 
@@ -217,11 +305,14 @@
 	m.peers.Send(to, &wire.Envelope{Kind: codec.KindConfigValue, ConfigValue: &wire.ConfigValue{Value: state}})
 }
 
-// Undelivered drops messages that never left: the next heartbeat replaces them.
+// Undelivered drops messages that never left: the next heartbeat replaces them, and a query that was passed
+// on is told of by Lost.
 func (m *Member) Undelivered(netip.AddrPort, []*wire.Envelope) {}
 
-// Disconnected does nothing: a link opens its next connection by itself.
-func (m *Member) Disconnected(netip.AddrPort) {}
+// Disconnected passes on that queries sent to the VM may be lost; the link opens its next connection by itself.
+func (m *Member) Disconnected(vm netip.AddrPort) {
+	m.queries.Lost(vm)
+}
 
 // Refused notes that a VM does not accept connections.
 func (m *Member) Refused(vm netip.AddrPort) {
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/datadriven"
 
+	"pistachioshore.dev/aggregator"
 	"pistachioshore.dev/codec"
 	"pistachioshore.dev/event"
 	"pistachioshore.dev/fleet"
@@ -23,6 +24,8 @@
 	sent      []string
 	members   []int
 	crashes   []string
+	queries   []string
+	forgotten []string
 	revision  uint64
 	away      bool
 	imported  []string
@@ -35,8 +38,27 @@
 	}
 }
 
-// Forget does nothing.
-func (b *bench) Forget(netip.AddrPort) {}
+// Forget notes the VM.
+func (b *bench) Forget(vm netip.AddrPort) {
+	b.forgotten = append(b.forgotten, vm.String())
+}
+
+// Receive notes a message about a query.
+func (b *bench) Receive(from netip.AddrPort, e *wire.Envelope) {
+	b.queries = append(b.queries, e.Kind+" from "+from.String())
+}
+
+// Lost does nothing.
+func (b *bench) Lost(netip.AddrPort) {}
+
+// Share notes the number of VMs.
+func (b *bench) Share(s aggregator.Shares) { b.members = append(b.members, s.Members) }
+
+// Crashed notes the crash.
+func (b *bench) Crashed(fp uint64, server string) bool {
+	b.crashes = append(b.crashes, fmt.Sprintf("%d at %s", fp, server))
+	return true
+}
 
 // Send notes the message.
 func (b *bench) Send(vm netip.AddrPort, e *wire.Envelope) bool {
@@ -67,9 +89,7 @@
 	datadriven.RunTest(t, "testdata/member.txt", func(t *testing.T, d *datadriven.TestData) string {
 		b := &bench{}
 		self := fleet.Self{Address: netip.MustParseAddrPort("10.1.0.1:80"), Zone: "brest-nord", Incarnation: 1}
-		b.member = New(self, b, b, event.Discard{}, start,
-			func(n int) { b.members = append(b.members, n) },
-			func(fp uint64, server string) { b.crashes = append(b.crashes, fmt.Sprintf("%d at %s", fp, server)) })
+		b.member = New(self, 0.4, b, b, b, aggregator.New(aggregator.VM{Address: self.Address}), b, event.Discard{}, start)
 		defer b.member.work.Stop()
 		for _, line := range strings.Split(strings.TrimSpace(d.Input), "\n") {
 			b.run(t, line)
--- a/member/options.go
+++ b/member/options.go
@@ -7,16 +7,6 @@
 )
 
 const (
-	// remembered is how long a silent VM counts as one that shares limits. A VM behind a partition goes
-	// on sending, and the platform's budgets are counted over 10 s.
-	remembered = 25 * time.Second
-
-	// settled is the time after which the VMs that were heard are taken for all there are.
-	settled = 4 * time.Second
-
-	// assumedMembers is the number of VMs assumed until then; the tiers of today have 6 to 8.
-	assumedMembers = 8
-
 	// askEvery is the least time between two requests for the state of another VM.
 	askEvery = 500 * time.Millisecond
 )
--- /dev/null
+++ b/relay/relay.go
@@ -0,0 +1,307 @@
+// Package relay passes queries on to the aggregators of a large tier and answers those of other VMs.
+package relay
+
+import (
+	"context"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"pistachioshore.dev/aggregator"
+	"pistachioshore.dev/budget"
+	"pistachioshore.dev/codec"
+	"pistachioshore.dev/event"
+	"pistachioshore.dev/forward"
+	"pistachioshore.dev/pool"
+	"pistachioshore.dev/result"
+	"pistachioshore.dev/transport"
+	"pistachioshore.dev/wire"
+)
+
+// Relay exchanges queries with other VMs; it is safe for concurrent use.
+type Relay struct {
+	chosen *aggregator.Table
+	peers  transport.Peer
+	server forward.Server
+	events event.Recorder
+	paused func() bool
+	again  *budget.Tokens
+	work   *pool.Pool[func()]
+	nextID atomic.Uint64
+
+	mu      sync.Mutex
+	asked   map[uint64]*asked
+	serving map[incoming]context.CancelFunc
+}
+
+// asked is a query that this VM passed on.
+type asked struct {
+	vm       netip.AddrPort
+	accepted chan struct{}
+	ended    chan ended
+}
+
+// ended is how a query that was passed on has ended.
+type ended struct {
+	answer forward.Answer
+	lost   bool // the connection to the aggregator broke
+}
+
+// incoming names a query of another VM.
+type incoming struct {
+	from netip.AddrPort
+	id   uint64
+}
+
+var _ forward.Relay = (*Relay)(nil)
+
+// New returns a relay that passes queries on to chosen aggregators and has the server answer those of other
+// VMs. Paused reports whether the process stood still since the last call.
+func New(chosen *aggregator.Table, peers transport.Peer, server forward.Server, events event.Recorder, paused func() bool) *Relay {
+	r := &Relay{
+		chosen: chosen, peers: peers, server: server, events: events, paused: paused,
+		again: budget.NewTokens(againShare, againBurst),
+		asked: map[uint64]*asked{}, serving: map[incoming]context.CancelFunc{},
+	}
+	r.again.SetBurst(againBurst)
+	r.work = pool.New(workers, func(task func()) { task() })
+	return r
+}
+
+// Close ends the workers; no query may be under way.
+func (r *Relay) Close() {
+	r.work.Stop()
+}
+
+// Relay passes the query on to an aggregator, and to a second one if the first does not take it or is lost.
+func (r *Relay) Relay(ctx context.Context, req *forward.Request, version uint64, until time.Time) (forward.Answer, netip.AddrPort, bool) {
+	var tried []netip.AddrPort
+	r.again.Earn(1)
+	for len(tried) < maxTries {
+		vm, ok := r.chosen.Pick(time.Now(), tried)
+		if !ok {
+			break
+		}
+		tried = append(tried, vm)
+		a, ok := r.ask(ctx, vm, req, version, until)
+		r.chosen.Done(vm)
+		if ok {
+			return a, vm, true
+		}
+	}
+	return forward.Answer{}, netip.AddrPort{}, false
+}
+
+// ask passes the query on to one VM and returns false if another one may run it.
+func (r *Relay) ask(ctx context.Context, vm netip.AddrPort, req *forward.Request, version uint64, until time.Time) (forward.Answer, bool) {
+	id := r.nextID.Add(1)
+	c := &asked{vm: vm, accepted: make(chan struct{}, 1), ended: make(chan ended, 1)}
+	r.mu.Lock()
+	r.asked[id] = c
+	r.mu.Unlock()
+	defer r.forget(id)
+	if !r.peers.Send(vm, toForward(id, req, version, until)) {
+		r.note(req, vm, "no connection")
+		return forward.Answer{}, false
+	}
+	return r.await(ctx, c, id, req, until)
+}
+
+// await waits for the answer. An aggregator that does not say in time that it has begun may be paused or cut off.
+func (r *Relay) await(ctx context.Context, c *asked, id uint64, req *forward.Request, until time.Time) (forward.Answer, bool) {
+	taken := time.NewTimer(acceptLimit)
+	defer taken.Stop()
+	over := time.NewTimer(time.Until(until))
+	defer over.Stop()
+	for {
+		select {
+		case <-c.accepted:
+			taken.Stop()
+			r.chosen.Heard(c.vm)
+		case e := <-c.ended:
+			return r.end(e, c, req)
+		case <-taken.C:
+			r.chosen.Silent(time.Now(), c.vm)
+			if r.again.Take() {
+				r.cancel(c.vm, id)
+				r.note(req, c.vm, "not taken in time")
+				return forward.Answer{}, false
+			}
+		case <-over.C:
+			r.cancel(c.vm, id)
+			return forward.Answer{Code: result.Late, Sharded: true}, true
+		case <-ctx.Done():
+			r.cancel(c.vm, id)
+			return forward.Answer{Code: result.Cancelled}, true
+		}
+	}
+}
+
+// end takes the answer, unless the aggregator did not run the query and another VM can.
+func (r *Relay) end(e ended, c *asked, req *forward.Request) (forward.Answer, bool) {
+	switch {
+	case e.lost && r.again.Take():
+		r.note(req, c.vm, "connection lost")
+		return forward.Answer{}, false
+	case e.lost:
+		return forward.Answer{Code: result.ConnectionLost, Sharded: true}, true
+	case e.answer.Code == result.NotReady || e.answer.Code == result.Stopping:
+		r.note(req, c.vm, e.answer.Code.String())
+		return forward.Answer{}, false
+	}
+	return e.answer, true
+}
+
+func (r *Relay) note(req *forward.Request, vm netip.AddrPort, why string) {
+	r.events.Record(event.RelayFailed, event.F(event.Request, req.ID), event.F(event.Peer, vm), event.F(event.Reason, why),
+		event.F(event.Elapsed, time.Since(req.Arrived)))
+}
+
+func (r *Relay) forget(id uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.asked, id)
+}
+
+func (r *Relay) cancel(vm netip.AddrPort, id uint64) {
+	r.peers.Send(vm, &wire.Envelope{Kind: codec.KindQueryCancel, QueryCancel: &wire.QueryCancel{ID: id}})
+}
+
+// Lost ends the queries that were passed on to a VM whose connection broke.
+func (r *Relay) Lost(vm netip.AddrPort) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, c := range r.asked {
+		if c.vm == vm {
+			c.end(ended{lost: true})
+		}
+	}
+}
+
+// end tells the end of a query once.
+func (c *asked) end(e ended) {
+	select {
+	case c.ended <- e:
+	default: // it has ended already
+	}
+}
+
+// Receive takes a message about a query.
+func (r *Relay) Receive(from netip.AddrPort, e *wire.Envelope) {
+	switch {
+	case e.QueryForward != nil:
+		r.begin(from, e.QueryForward)
+	case e.QueryAccept != nil:
+		if c := r.find(from, e.QueryAccept.ID); c != nil {
+			select {
+			case c.accepted <- struct{}{}:
+			default: // told already
+			}
+		}
+	case e.QueryResult != nil:
+		if c := r.find(from, e.QueryResult.ID); c != nil {
+			c.end(ended{answer: fromResult(e.QueryResult)})
+		}
+	case e.QueryCancel != nil:
+		r.stop(incoming{from, e.QueryCancel.ID})
+	}
+}
+
+// find returns a query that was passed on to the VM and has not ended.
+func (r *Relay) find(vm netip.AddrPort, id uint64) *asked {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if c := r.asked[id]; c != nil && c.vm == vm {
+		return c
+	}
+	return nil
+}
+
+// begin has a worker answer the query of another VM. One that arrived while this process stood still is
+// dropped: its sender has turned to another VM.
+func (r *Relay) begin(from netip.AddrPort, m *wire.QueryForward) {
+	key := incoming{from, m.ID}
+	req := fromForward(m, time.Now())
+	if r.paused() {
+		r.note(req, from, "arrived during a pause of this VM")
+		return
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	r.mu.Lock()
+	r.serving[key] = cancel
+	r.mu.Unlock()
+	r.peers.Send(from, &wire.Envelope{Kind: codec.KindQueryAccept, QueryAccept: &wire.QueryAccept{ID: m.ID}})
+	if !r.work.Submit(func() { r.serve(ctx, key, req) }) {
+		r.stop(key)
+	}
+}
+
+// serve answers one query of another VM.
+func (r *Relay) serve(ctx context.Context, key incoming, req *forward.Request) {
+	defer r.stop(key)
+	if ctx.Err() != nil {
+		return
+	}
+	a := r.server.Serve(ctx, req)
+	if a.Code != result.Cancelled {
+		r.peers.Send(key.from, toResult(key.id, a))
+	}
+}
+
+// stop ends a query of another VM, if it is under way.
+func (r *Relay) stop(key incoming) {
+	r.mu.Lock()
+	cancel := r.serving[key]
+	delete(r.serving, key)
+	r.mu.Unlock()
+	if cancel != nil {
+		cancel()
+	}
+}
+
+// toForward returns the message for a query.
+func toForward(id uint64, req *forward.Request, version uint64, until time.Time) *wire.Envelope {
+	now := time.Now()
+	m := &wire.QueryForward{
+		ID: id, RequestID: req.ID, Method: req.Method, Target: req.Target, Host: req.Host, Header: []wire.HeaderLine{},
+		Body: append([]byte{}, req.Body...), Waited: now.Sub(req.Arrived), Transit: req.Transit + hop,
+		Left: max(until.Sub(now)-hop, time.Millisecond), Version: version,
+	}
+	for name, values := range req.Header {
+		for _, v := range values {
+			m.Header = append(m.Header, wire.HeaderLine{Name: name, Value: v})
+		}
+	}
+	return &wire.Envelope{Kind: codec.KindQueryForward, QueryForward: m}
+}
+
+// fromForward returns the request of a message that arrived at now.
+func fromForward(m *wire.QueryForward, now time.Time) *forward.Request {
+	req := &forward.Request{
+		ID: m.RequestID, Method: m.Method, Target: m.Target, Host: m.Host, Body: m.Body, Header: map[string][]string{},
+		Arrived: now.Add(-m.Waited), Deadline: now.Add(m.Left), Transit: m.Transit, Relayed: true, Version: m.Version,
+	}
+	req.Path, _, _ = strings.Cut(m.Target, "?")
+	for _, h := range m.Header {
+		req.Header[h.Name] = append(req.Header[h.Name], h.Value)
+	}
+	return req
+}
+
+// toResult returns the message for an answer.
+func toResult(id uint64, a forward.Answer) *wire.Envelope {
+	m := &wire.QueryResult{
+		ID: id, Code: int(a.Code), Records: append([]byte{}, a.Records...), Stamps: append([]string{}, a.Stamps...),
+		Missing: a.Missing, RetryAfter: a.RetryAfter,
+	}
+	return &wire.Envelope{Kind: codec.KindQueryResult, QueryResult: m}
+}
+
+// fromResult returns the answer of a message.
+func fromResult(m *wire.QueryResult) forward.Answer {
+	return forward.Answer{
+		Code: result.Code(m.Code), Records: m.Records, Stamps: m.Stamps, Missing: m.Missing, RetryAfter: m.RetryAfter, Sharded: true,
+	}
+}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -226,6 +226,18 @@
 	// Parts corresponds to the JSON schema field "parts".
 	Parts *Parts `json:"parts,omitempty,omitzero"`
 
+	// QueryAccept corresponds to the JSON schema field "query-accept".
+	QueryAccept *QueryAccept `json:"query-accept,omitempty,omitzero"`
+
+	// QueryCancel corresponds to the JSON schema field "query-cancel".
+	QueryCancel *QueryCancel `json:"query-cancel,omitempty,omitzero"`
+
+	// QueryForward corresponds to the JSON schema field "query-forward".
+	QueryForward *QueryForward `json:"query-forward,omitempty,omitzero"`
+
+	// QueryResult corresponds to the JSON schema field "query-result".
+	QueryResult *QueryResult `json:"query-result,omitempty,omitzero"`
+
 	// SubRequests corresponds to the JSON schema field "sub-requests".
 	SubRequests *SubRequests `json:"sub-requests,omitempty,omitzero"`
 }
@@ -296,6 +308,15 @@
 	Upstreams []UpstreamState `json:"upstreams"`
 }
 
+// HeaderLine is one line of a request's header.
+type HeaderLine struct {
+	// Name corresponds to the JSON schema field "name".
+	Name string `json:"name"`
+
+	// Value corresponds to the JSON schema field "value".
+	Value string `json:"value"`
+}
+
 // Health is an upstream's own word on its state.
 type Health struct {
 	// Incarnation corresponds to the JSON schema field "incarnation".
@@ -322,6 +343,12 @@
 
 // Heartbeat shows that the sender makes progress and what it believes.
 type Heartbeat struct {
+	// Aggregators are the VMs that fan queries out in a large tier.
+	Aggregators []TierMember `json:"aggregators,omitempty,omitzero"`
+
+	// Cores is the share of the processor that the sender may use, in cores.
+	Cores float64 `json:"cores,omitempty,omitzero"`
+
 	// Digest corresponds to the JSON schema field "digest".
 	Digest uint64 `json:"digest"`
 
@@ -348,6 +375,10 @@
 
 	// Zone corresponds to the JSON schema field "zone".
 	Zone string `json:"zone"`
+
+	// ZoneMembers is the number of VMs of the sender's zone that it knows, itself
+	// included.
+	ZoneMembers int `json:"zone-members,omitempty,omitzero"`
 }
 
 // Hello opens a connection between two VMs.
@@ -586,6 +617,12 @@
 	StaleTag int `json:"stale-tag,omitempty,omitzero"`
 }
 
+// QueryAccept says that an aggregator has begun with a query.
+type QueryAccept struct {
+	// ID corresponds to the JSON schema field "id".
+	ID uint64 `json:"id"`
+}
+
 // QueryAnswer is a complete or partial answer from one snapshot.
 type QueryAnswer struct {
 	// Code corresponds to the JSON schema field "code".
@@ -616,6 +653,48 @@
 	Snapshot uint64 `json:"snapshot"`
 }
 
+// QueryCancel says that nobody waits for a forwarded query.
+type QueryCancel struct {
+	// ID corresponds to the JSON schema field "id".
+	ID uint64 `json:"id"`
+}
+
+// QueryForward passes a client's query on to an aggregator.
+type QueryForward struct {
+	// Body corresponds to the JSON schema field "body".
+	Body []byte `json:"body"`
+
+	// Header corresponds to the JSON schema field "header".
+	Header []HeaderLine `json:"header"`
+
+	// Host corresponds to the JSON schema field "host".
+	Host string `json:"host"`
+
+	// ID corresponds to the JSON schema field "id".
+	ID uint64 `json:"id"`
+
+	// Left is the time for which the client waits on; 0 if it named none.
+	Left time.Duration `json:"left"`
+
+	// Method corresponds to the JSON schema field "method".
+	Method string `json:"method"`
+
+	// RequestID corresponds to the JSON schema field "request-id".
+	RequestID string `json:"request-id"`
+
+	// Target corresponds to the JSON schema field "target".
+	Target string `json:"target"`
+
+	// Transit is the time that request and answer spend between client and sender.
+	Transit time.Duration `json:"transit"`
+
+	// Version is the configuration version that the sender has in force.
+	Version uint64 `json:"version"`
+
+	// Waited is the time since the sender has read the request.
+	Waited time.Duration `json:"waited"`
+}
+
 // QueryRequest asks for the records of a route's groups that pass a filter.
 type QueryRequest struct {
 	// Class corresponds to the JSON schema field "class".
@@ -637,6 +716,27 @@
 	Route string `json:"route"`
 }
 
+// QueryResult returns the answer to a forwarded query.
+type QueryResult struct {
+	// Code corresponds to the JSON schema field "code".
+	Code int `json:"code"`
+
+	// ID corresponds to the JSON schema field "id".
+	ID uint64 `json:"id"`
+
+	// Missing corresponds to the JSON schema field "missing".
+	Missing int `json:"missing"`
+
+	// Records corresponds to the JSON schema field "records".
+	Records []byte `json:"records"`
+
+	// RetryAfter corresponds to the JSON schema field "retry-after".
+	RetryAfter time.Duration `json:"retry-after"`
+
+	// Stamps corresponds to the JSON schema field "stamps".
+	Stamps []string `json:"stamps"`
+}
+
 // Record is one entry of a shard in its own schema version.
 type Record struct {
 	// Attributes corresponds to the JSON schema field "attributes".
@@ -950,6 +1050,21 @@
 	Items []SubRequest `json:"items"`
 }
 
+// TierMember is a VM that the sender heard, itself or through others.
+type TierMember struct {
+	// Age corresponds to the JSON schema field "age".
+	Age time.Duration `json:"age"`
+
+	// Cores corresponds to the JSON schema field "cores".
+	Cores float64 `json:"cores"`
+
+	// VM corresponds to the JSON schema field "vm".
+	VM netip.AddrPort `json:"vm"`
+
+	// Zone corresponds to the JSON schema field "zone".
+	Zone string `json:"zone"`
+}
+
 // TurnedAway is one attempt that the upstream received and did not start.
 type TurnedAway struct {
 	// At corresponds to the JSON schema field "at".
