Let VMs of a large tier learn of the platform from the aggregators

Change: a VM that is no aggregator stops reading the store while it hears an aggregator that the store answers. Heartbeats carry a cursor for each feed; a VM asks for what has changed after its own. After 2.5 s without such an aggregator a VM reads the store itself.

--- a/event/event.go
+++ b/event/event.go
@@ -32,6 +32,7 @@
 	CrashSuspected // an upstream crashed while it ran a request
 	StoreLost
 	StoreRegained
+	Following // the state of the platform comes from other VMs, or from the store again
 	PeerLost
 	PeerFound
 	Paused  // the process stood still
@@ -44,7 +45,7 @@
 var kindNames = [kinds]string{
 	"none", "refused", "failed", "partial", "attempt", "hedged", "abandoned", "relayed", "relay-failed", "answered",
 	"started", "stopping", "stopped", "reloaded", "ready", "config-accepted", "config-rejected",
-	"zone-evacuated", "isolated", "server-changed", "entry-rejected", "crash-suspected", "store-lost", "store-regained", "peer-lost", "peer-found",
+	"zone-evacuated", "isolated", "server-changed", "entry-rejected", "crash-suspected", "store-lost", "store-regained", "following", "peer-lost", "peer-found",
 	"paused", "dropped", "problem",
 }
 
--- a/member/member.go
+++ b/member/member.go
@@ -21,16 +21,20 @@
 	"pistachioshore.dev/wire"
 )
 
-// State is what the VMs pass on to one another.
+// State is what the VMs pass on to one another: what they know of the platform.
 type State interface {
-	// Revision returns how new the state is; 0 if there is none.
-	Revision() uint64
-	// Export returns the state as it is sent to another VM.
-	Export() ([]byte, error)
-	// Wanted reports whether a state of the given revision would tell this VM something new.
-	Wanted(revision uint64) bool
+	// Cursors tell how new each part of the state is; there are none before it is complete.
+	Cursors() []uint64
+	// Fed reports whether the platform answers this VM, so that others can follow it.
+	Fed() bool
+	// Wanted reports whether a state with the given cursors would tell this VM something new.
+	Wanted(cursors []uint64) bool
+	// Export returns what has changed since the given cursors, or everything if there are none.
+	Export(since []uint64) ([]byte, error)
 	// Import takes the state of another VM.
 	Import(state []byte) error
+	// Follow has the state come from other VMs instead of the platform, or no longer.
+	Follow(on bool)
 }
 
 // Queries takes the messages about queries that VMs pass on to one another.
@@ -69,6 +73,7 @@
 type contacts struct {
 	linked    map[netip.AddrPort]bool
 	asked     time.Time // when a state was last asked for
+	source    time.Time // last heartbeat of an aggregator that the platform answers
 	announced aggregator.Shares
 }
 
@@ -144,6 +149,23 @@
 	}
 	m.unlink(now)
 	m.announce(now)
+	m.follow(now)
+}
+
+// follow has a VM of a large tier learn of the platform from the aggregators, as long as it hears one that the
+// platform answers: the calls to the platform are limited over all VMs.
+func (m *Member) follow(now time.Time) {
+	on := table.Read(m.seen, func(c *contacts) bool {
+		return c.announced.Aggregators > 0 && !c.announced.Aggregating && now.Sub(c.source) < sourceSilence
+	})
+	m.state.Follow(on)
+}
+
+// StateChanged tells the VMs that follow this one of a change at once.
+func (m *Member) StateChanged(now time.Time) {
+	if table.Read(m.seen, func(c *contacts) bool { return c.announced.Aggregating }) {
+		m.heartbeat(now)
+	}
 }
 
 // link opens a connection to a VM with which this one keeps in touch.
@@ -190,7 +212,13 @@
 }
 
 func (m *Member) heartbeat(now time.Time) {
-	h := codec.ToWireHeartbeat(m.fleet.Heartbeat(now, m.state.Revision(), 0, true))
+	cursors := m.state.Cursors()
+	var revision uint64
+	if len(cursors) > 0 {
+		revision = slices.Max(cursors)
+	}
+	h := codec.ToWireHeartbeat(m.fleet.Heartbeat(now, revision, 0, true))
+	h.Cursors, h.Fed = cursors, m.state.Fed()
 	h.Cores = m.self.Cores
 	h.ZoneMembers = m.roster.ZoneMembers(now)
 	if chosen := m.roster.Aggregators(now); len(chosen) > 0 {
@@ -230,7 +258,7 @@
 	case e.Heartbeat != nil:
 		m.hear(now, from, e.Heartbeat)
 	case e.ConfigRequest != nil:
-		m.export(from)
+		m.export(from, e.ConfigRequest.Cursors)
 	case e.CanaryReport != nil:
 		m.hearCrash(now, from, e.CanaryReport)
 	case e.ConfigValue != nil:
@@ -255,12 +283,15 @@
 	if found || h.Leaving {
 		m.announce(now)
 	}
-	m.ask(now, from, h.Revision)
+	if h.Fed && slices.ContainsFunc(m.roster.Aggregators(now), func(a aggregator.VM) bool { return a.Address == from }) {
+		m.seen.With(func(c *contacts) { c.source = now })
+	}
+	m.ask(now, from, h.Cursors)
 }
 
 // ask asks another VM for its state if that would tell something new.
-func (m *Member) ask(now time.Time, from netip.AddrPort, revision uint64) {
-	if !m.state.Wanted(revision) {
+func (m *Member) ask(now time.Time, from netip.AddrPort, cursors []uint64) {
+	if !m.state.Wanted(cursors) {
 		return
 	}
 	due := false
@@ -271,7 +302,7 @@
 		}
 	})
 	if due {
-		m.peers.Send(from, &wire.Envelope{Kind: codec.KindConfigRequest, ConfigRequest: &wire.ConfigRequest{Revision: m.state.Revision()}})
+		m.peers.Send(from, &wire.Envelope{Kind: codec.KindConfigRequest, ConfigRequest: &wire.ConfigRequest{Cursors: m.state.Cursors()}})
 	}
 }
 
@@ -296,8 +327,8 @@
 	}
 }
 
-func (m *Member) export(to netip.AddrPort) {
-	state, err := m.state.Export()
+func (m *Member) export(to netip.AddrPort, since []uint64) {
+	state, err := m.state.Export(since)
 	if err != nil {
 		m.events.Record(event.Problem, event.F(event.Reason, "state for another VM"), event.F(event.Peer, to), event.F(event.Error, err))
 		return
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -26,8 +26,10 @@
 	crashes   []string
 	queries   []string
 	forgotten []string
+	shown     []string
 	revision  uint64
 	away      bool
+	following bool
 	imported  []string
 }
 
@@ -66,14 +68,22 @@
 	return true
 }
 
-// Revision returns the revision of the state.
-func (b *bench) Revision() uint64 { return b.revision }
+// Cursors returns the revision of the state.
+func (b *bench) Cursors() []uint64 { return []uint64{b.revision} }
+
+// Fed reports whether the store answers.
+func (b *bench) Fed() bool { return !b.away }
+
+// Follow notes whether the state comes from other VMs.
+func (b *bench) Follow(on bool) { b.following = on }
 
 // Export returns the state.
-func (b *bench) Export() ([]byte, error) { return []byte("state"), nil }
+func (b *bench) Export([]uint64) ([]byte, error) { return []byte("state"), nil }
 
 // Wanted reports whether the store is away and the other VM knows more.
-func (b *bench) Wanted(revision uint64) bool { return b.away && revision > b.revision }
+func (b *bench) Wanted(cursors []uint64) bool {
+	return b.away && len(cursors) > 0 && cursors[0] > b.revision
+}
 
 // Import takes a state.
 func (b *bench) Import(state []byte) error {
@@ -95,7 +105,12 @@
 			b.run(t, line)
 		}
 		slices.Sort(b.sent)
-		return fmt.Sprintf("members %v\nconnected %v\nsent %v\nimported %v crashes %v\n",
+		var out strings.Builder
+		for _, line := range b.shown {
+			fmt.Fprintln(&out, line)
+		}
+		fmt.Fprintf(&out, "forgotten %d queries %v\n", len(b.forgotten), b.queries)
+		return out.String() + fmt.Sprintf("members %v\nconnected %v\nsent %v\nimported %v crashes %v\n",
 			b.members, b.connected, slices.Compact(b.sent), b.imported, b.crashes)
 	})
 }
@@ -120,9 +135,27 @@
 	case "hear":
 		h := &wire.Heartbeat{VM: from, Zone: "angers-est", Incarnation: 5, Heard: []wire.HeardPeer{}}
 		if len(f) > 3 {
-			fmt.Sscan(f[3], &h.Revision)
+			var revision uint64
+			fmt.Sscan(f[3], &revision)
+			h.Cursors = []uint64{revision}
 		}
 		b.member.handle(now, from, &wire.Envelope{Kind: codec.KindHeartbeat, Heartbeat: h})
+	case "many": // from, to, zone, cores
+		var first, last int
+		fmt.Sscan(f[2], &first)
+		fmt.Sscan(f[3], &last)
+		for n := first; n <= last; n++ {
+			vm := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, byte(n)}), 80)
+			h := &wire.Heartbeat{VM: vm, Zone: f[4], Incarnation: 5, Heard: []wire.HeardPeer{}, Fed: len(f) > 6}
+			fmt.Sscan(f[5], &h.Cores)
+			b.member.handle(now, vm, &wire.Envelope{Kind: codec.KindHeartbeat, Heartbeat: h})
+		}
+	case "show":
+		b.shown = append(b.shown, fmt.Sprintf("at %d ms linked %v following %t", ms, b.member.links(), b.following))
+	case "forward":
+		b.member.Receive(from, &wire.Envelope{Kind: codec.KindQueryForward, QueryForward: &wire.QueryForward{}})
+	case "changed":
+		b.member.StateChanged(now)
 	case "away":
 		b.away = true
 	case "ask":
--- a/member/options.go
+++ b/member/options.go
@@ -7,8 +7,12 @@
 )
 
 const (
-	// askEvery is the least time between two requests for the state of another VM.
-	askEvery = 500 * time.Millisecond
+	// askEvery is the least time between two requests for the state of another VM; an answer takes less.
+	askEvery = 200 * time.Millisecond
+
+	// sourceSilence is the silence of all aggregators that the platform answers, after which a VM reads the
+	// platform itself. Two heartbeats may be late; the shortest bound on a change in force is 3 s.
+	sourceSilence = 2500 * time.Millisecond
 )
 
 // settings returns the intervals of a tier whose VMs own no upstreams: membership decides only about
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -85,6 +85,9 @@
 
 // ConfigRequest asks for the configuration in force at the receiver.
 type ConfigRequest struct {
+	// Cursors tell which part the sender knows already.
+	Cursors []uint64 `json:"cursors,omitempty,omitzero"`
+
 	// Digest corresponds to the JSON schema field "digest".
 	Digest uint64 `json:"digest"`
 
@@ -349,9 +352,15 @@
 	// Cores is the share of the processor that the sender may use, in cores.
 	Cores float64 `json:"cores,omitempty,omitzero"`
 
+	// Cursors tell how new each part of what the sender knows of the platform is.
+	Cursors []uint64 `json:"cursors,omitempty,omitzero"`
+
 	// Digest corresponds to the JSON schema field "digest".
 	Digest uint64 `json:"digest"`
 
+	// Fed says that the platform answers the sender.
+	Fed bool `json:"fed,omitempty,omitzero"`
+
 	// Heard corresponds to the JSON schema field "heard".
 	Heard []HeardPeer `json:"heard"`
 
