--- a/forward/forward.go
+++ b/forward/forward.go
@@ -34,6 +34,7 @@
 	Transit time.Duration
 	Relayed bool   // another VM took it from the client and passed it on
 	Version uint64 // least configuration version that may answer; 0 for any
+	Tried   int    // attempts at each shard that another VM may have made already
 }
 
 // Response is what an upstream answered.
@@ -91,9 +92,16 @@
 
 // Relay has other VMs answer queries over shards.
 type Relay interface {
-	// Relay passes the query on to a VM that has the given configuration version or a newer one, and returns
-	// its answer by the time until and the VM that gave it. It returns false if there is none, or none took the query.
-	Relay(ctx context.Context, req *Request, version uint64, until time.Time) (Answer, netip.AddrPort, bool)
+	// Relay passes the query on to another VM and returns its answer with the VM that gave it. It returns
+	// false if there is none or none took the query, and counts in req what these may have tried.
+	Relay(ctx context.Context, req *Request, l RelayLimits) (Answer, netip.AddrPort, bool)
+}
+
+// RelayLimits bound how a query is passed on.
+type RelayLimits struct {
+	Version  uint64    // least configuration version that may answer
+	Until    time.Time // when nobody waits for the answer any more
+	Attempts int       // attempts at each shard, over all VMs
 }
 
 // Settings are what a VM learns from its platform before it starts.
--- a/forward/query.go
+++ b/forward/query.go
@@ -67,7 +67,7 @@
 		Deadline:         q.deadline,
 		MinimumCoverage:  1,
 		CoverageRequired: true,
-		MaxAttempts:      max(q.route.MaxAttempts, 1),
+		MaxAttempts:      max(q.route.MaxAttempts-q.req.Tried, 1),
 		NotIdempotent:    !q.route.Idempotent,
 	}
 	if q.route.Sharded() {
--- a/forward/vm.go
+++ b/forward/vm.go
@@ -170,7 +170,7 @@
 	if vm.relay == nil || req.Relayed || !r.Sharded() {
 		return Answer{}, false
 	}
-	a, by, ok := vm.relay.Relay(ctx, req, cfg.Version, deadline(req, r))
+	a, by, ok := vm.relay.Relay(ctx, req, RelayLimits{Version: cfg.Version, Until: deadline(req, r), Attempts: r.MaxAttempts})
 	if !ok {
 		return Answer{}, false
 	}
--- a/relay/options.go
+++ b/relay/options.go
@@ -10,6 +10,9 @@
 	// is used up stands still for most of a tenth of a second, and a second run costs each shard an attempt.
 	acceptLimit = 60 * time.Millisecond
 
+	// timerSlack is how late a timer fires on a VM that does not stand still.
+	timerSlack = 10 * time.Millisecond
+
 	// maxTries is the number of aggregators that one query is passed on to.
 	maxTries = 2
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -38,6 +38,7 @@
 
 // asked is a query that this VM passed on.
 type asked struct {
+	id       uint64
 	vm       netip.AddrPort
 	accepted chan struct{}
 	ended    chan ended
@@ -75,8 +76,8 @@
 	r.work.Stop()
 }
 
-// Relay passes the query on to an aggregator, and to a second one if the first does not take it or is lost.
-func (r *Relay) Relay(ctx context.Context, req *forward.Request, version uint64, until time.Time) (forward.Answer, netip.AddrPort, bool) {
+// Relay passes the query on to an aggregator, and to a second one if the first does not take it.
+func (r *Relay) Relay(ctx context.Context, req *forward.Request, l forward.RelayLimits) (forward.Answer, netip.AddrPort, bool) {
 	var tried []netip.AddrPort
 	r.again.Earn(1)
 	for len(tried) < maxTries {
@@ -85,7 +86,7 @@
 			break
 		}
 		tried = append(tried, vm)
-		a, ok := r.ask(ctx, vm, req, version, until)
+		a, ok := r.ask(ctx, vm, req, l)
 		r.chosen.Done(vm)
 		if ok {
 			return a, vm, true
@@ -95,54 +96,82 @@
 }
 
 // ask passes the query on to one VM and returns false if another one may run it.
-func (r *Relay) ask(ctx context.Context, vm netip.AddrPort, req *forward.Request, version uint64, until time.Time) (forward.Answer, bool) {
+func (r *Relay) ask(ctx context.Context, vm netip.AddrPort, req *forward.Request, l forward.RelayLimits) (forward.Answer, bool) {
 	id := r.nextID.Add(1)
-	c := &asked{vm: vm, accepted: make(chan struct{}, 1), ended: make(chan ended, 1)}
+	c := &asked{id: id, vm: vm, accepted: make(chan struct{}, 1), ended: make(chan ended, 1)}
 	r.mu.Lock()
 	r.asked[id] = c
 	r.mu.Unlock()
 	defer r.forget(id)
-	if !r.peers.Send(vm, toForward(id, req, version, until)) {
+	if !r.peers.Send(vm, toForward(id, req, l)) {
 		r.note(req, vm, "no connection")
 		return forward.Answer{}, false
 	}
-	return r.await(ctx, c, id, req, until)
+	return r.await(ctx, c, req, l)
 }
 
 // await waits for the answer. An aggregator that does not say in time that it has begun may be paused or cut off.
-func (r *Relay) await(ctx context.Context, c *asked, id uint64, req *forward.Request, until time.Time) (forward.Answer, bool) {
+func (r *Relay) await(ctx context.Context, c *asked, req *forward.Request, l forward.RelayLimits) (forward.Answer, bool) {
+	due := time.Now().Add(acceptLimit)
 	taken := time.NewTimer(acceptLimit)
 	defer taken.Stop()
-	over := time.NewTimer(time.Until(until))
+	over := time.NewTimer(time.Until(l.Until))
 	defer over.Stop()
+	accepted := false
 	for {
 		select {
 		case <-c.accepted:
+			accepted = true
 			taken.Stop()
 			r.chosen.Heard(c.vm)
 		case e := <-c.ended:
-			return r.end(e, c, req)
+			return r.end(e, c, req, accepted || len(c.accepted) > 0, l)
 		case <-taken.C:
-			r.chosen.Silent(time.Now(), c.vm)
-			if r.again.Take() {
-				r.cancel(c.vm, id)
-				r.note(req, c.vm, "not taken in time")
-				return forward.Answer{}, false
+			if now := time.Now(); now.Sub(due) > timerSlack {
+				due = now.Add(acceptLimit) // this VM stood still, and what has arrived meanwhile is not read yet
+				taken.Reset(acceptLimit)
+				continue
 			}
+			if len(c.accepted) > 0 || !r.silent(c, req, l) {
+				continue
+			}
+			return forward.Answer{}, false
 		case <-over.C:
-			r.cancel(c.vm, id)
+			r.cancel(c)
 			return forward.Answer{Code: result.Late, Sharded: true}, true
 		case <-ctx.Done():
-			r.cancel(c.vm, id)
+			r.cancel(c)
 			return forward.Answer{Code: result.Cancelled}, true
 		}
 	}
 }
 
-// end takes the answer, unless the aggregator did not run the query and another VM can.
-func (r *Relay) end(e ended, c *asked, req *forward.Request) (forward.Answer, bool) {
+// silent notes that an aggregator did not take the query in time, and reports whether another VM may run it.
+func (r *Relay) silent(c *asked, req *forward.Request, l forward.RelayLimits) bool {
+	r.chosen.Silent(time.Now(), c.vm)
+	r.note(req, c.vm, "not taken in time")
+	if !r.mayTryAgain(req, l) {
+		return false
+	}
+	r.cancel(c)
+	return true
+}
+
+// mayTryAgain reports whether another VM may run a query that one VM may have begun with, which counts as an
+// attempt at each shard: that VM is cancelled before it makes a second one.
+func (r *Relay) mayTryAgain(req *forward.Request, l forward.RelayLimits) bool {
+	if l.Attempts-req.Tried < 2 || !r.again.Take() {
+		return false
+	}
+	req.Tried++
+	return true
+}
+
+// end takes the answer, unless another VM can run the query. One that had begun may have made all attempts
+// that the route allows, so its client has to come again.
+func (r *Relay) end(e ended, c *asked, req *forward.Request, accepted bool, l forward.RelayLimits) (forward.Answer, bool) {
 	switch {
-	case e.lost && r.again.Take():
+	case e.lost && !accepted && r.mayTryAgain(req, l):
 		r.note(req, c.vm, "connection lost")
 		return forward.Answer{}, false
 	case e.lost:
@@ -165,8 +194,8 @@
 	delete(r.asked, id)
 }
 
-func (r *Relay) cancel(vm netip.AddrPort, id uint64) {
-	r.peers.Send(vm, &wire.Envelope{Kind: codec.KindQueryCancel, QueryCancel: &wire.QueryCancel{ID: id}})
+func (r *Relay) cancel(c *asked) {
+	r.peers.Send(c.vm, &wire.Envelope{Kind: codec.KindQueryCancel, QueryCancel: &wire.QueryCancel{ID: c.id}})
 }
 
 // Lost ends the queries that were passed on to a VM whose connection broke.
@@ -262,12 +291,12 @@
 }
 
 // toForward returns the message for a query.
-func toForward(id uint64, req *forward.Request, version uint64, until time.Time) *wire.Envelope {
+func toForward(id uint64, req *forward.Request, l forward.RelayLimits) *wire.Envelope {
 	now := time.Now()
 	m := &wire.QueryForward{
 		ID: id, RequestID: req.ID, Method: req.Method, Target: req.Target, Host: req.Host, Header: []wire.HeaderLine{},
 		Body: append([]byte{}, req.Body...), Waited: now.Sub(req.Arrived), Transit: req.Transit + hop,
-		Left: max(until.Sub(now)-hop, time.Millisecond), Version: version,
+		Left: max(l.Until.Sub(now)-hop, time.Millisecond), Version: l.Version, Tried: req.Tried,
 	}
 	for name, values := range req.Header {
 		for _, v := range values {
@@ -281,7 +310,7 @@
 func fromForward(m *wire.QueryForward, now time.Time) *forward.Request {
 	req := &forward.Request{
 		ID: m.RequestID, Method: m.Method, Target: m.Target, Host: m.Host, Body: m.Body, Header: map[string][]string{},
-		Arrived: now.Add(-m.Waited), Deadline: now.Add(m.Left), Transit: m.Transit, Relayed: true, Version: m.Version,
+		Arrived: now.Add(-m.Waited), Deadline: now.Add(m.Left), Transit: m.Transit, Relayed: true, Version: m.Version, Tried: m.Tried,
 	}
 	req.Path, _, _ = strings.Cut(m.Target, "?")
 	for _, h := range m.Header {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -39,10 +39,11 @@
 	served     []string
 	held       chan struct{} // closed when a held query may end
 	paused     bool
+	attempts   int // of the route
 }
 
 func newBench() *bench {
-	b := &bench{behaviours: map[netip.AddrPort]string{}, held: make(chan struct{})}
+	b := &bench{behaviours: map[netip.AddrPort]string{}, held: make(chan struct{}), attempts: 2}
 	b.chosen = aggregator.New(aggregator.VM{Address: self, Zone: "a"})
 	b.relay = relay.New(b.chosen, b, b, event.Discard{}, func() bool { return b.paused })
 	return b
@@ -75,6 +76,8 @@
 		b.relay.Receive(vm, answer(id, result.Late)) // a second answer is dropped
 	case "not-ready":
 		b.relay.Receive(vm, answer(id, result.NotReady))
+	case "broken":
+		b.relay.Lost(vm)
 	case "lost":
 		b.relay.Receive(vm, &wire.Envelope{QueryAccept: &wire.QueryAccept{ID: id}})
 		b.relay.Lost(vm)
@@ -132,6 +135,8 @@
 			b.behaviours[vm] = behaviour
 		}
 		b.chosen.Set(list)
+	case "attempts":
+		fmt.Sscan(f[1], &b.attempts)
 	case "ask":
 		return b.ask(time.Second, time.Second)
 	case "ask-until": // ms
@@ -159,11 +164,11 @@
 	defer cancel()
 	now := time.Now()
 	req := &forward.Request{ID: "id", Method: http.MethodGet, Target: "/a/b", Arrived: now, Deadline: now.Add(left)}
-	a, vm, ok := b.relay.Relay(ctx, req, 7, now.Add(left))
+	a, vm, ok := b.relay.Relay(ctx, req, forward.RelayLimits{Version: 7, Until: now.Add(left), Attempts: b.attempts})
 	if !ok {
-		return "not passed on\n"
+		return fmt.Sprintf("not passed on, tried %d\n", req.Tried)
 	}
-	return fmt.Sprintf("%v by %v missing %d stamps %v\n", a.Code, vm, a.Missing, a.Stamps)
+	return fmt.Sprintf("%v by %v missing %d stamps %v, tried %d\n", a.Code, vm, a.Missing, a.Stamps, req.Tried)
 }
 
 // query has this VM answer a query of another one.
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -697,6 +697,10 @@
 	// Transit is the time that request and answer spend between client and sender.
 	Transit time.Duration `json:"transit"`
 
+	// Tried is the number of attempts at each shard that another VM may have made
+	// already.
+	Tried int `json:"tried"`
+
 	// Version is the configuration version that the sender has in force.
 	Version uint64 `json:"version"`
 
