--- a/standin/kv/kv.go
+++ b/standin/kv/kv.go
@@ -31,6 +31,9 @@
 	Many   Fault = "many"   // 429 to every call
 	Reset  Fault = "reset"  // connections are closed without an answer
 	Silent Fault = "silent" // calls get no answer while the fault lasts
+
+	// Swallow leaves calls that begin without an answer for good; watches that wait already go on.
+	Swallow Fault = "swallow"
 )
 
 // event is an item as it was written, or the deletion of a key.
@@ -81,7 +84,7 @@
 		w.WriteHeader(http.StatusTooManyRequests)
 	case Reset:
 		panic(http.ErrAbortHandler)
-	case Silent:
+	case Silent, Swallow:
 		<-r.Context().Done()
 	default:
 		s.mux.ServeHTTP(w, r)
@@ -126,11 +129,14 @@
 	})
 }
 
-// SetFault changes how calls are treated, and cuts all watches.
+// SetFault changes how calls are treated, and cuts all watches unless the store only swallows calls.
 func (s *Store) SetFault(f Fault) {
 	s.state.With(func(st *state) {
+		cut := f != Swallow && st.fault != Swallow
 		st.fault = f
-		st.wake()
+		if cut {
+			st.wake()
+		}
 	})
 }
 
@@ -187,7 +193,7 @@
 	for {
 		events, revision, gone, changed, fault := s.since(q.Get("prefix"), after)
 		switch {
-		case fault != Sound:
+		case fault != Sound && fault != Swallow:
 			panic(http.ErrAbortHandler)
 		case gone:
 			w.WriteHeader(http.StatusGone)
