Make second attempts for another VM only once it confirms that it waits

Cause: while 405 servers of a new shard set register, an aggregator's processor is busy for over 60 ms.

Ruled out: a longer limit for taking a query, which moves the case but does not close it; and never passing a query on a second time, which leaves it to a VM that may be frozen until its deadline.

Change: an aggregator makes one attempt at each shard until the sender confirms that it has read the acceptance. What failed or is late by then gets its second attempt with the confirmation.

--- a/codec/envelope.go
+++ b/codec/envelope.go
@@ -29,6 +29,7 @@
 		{"parts", e.Parts != nil},
 		{"query-accept", e.QueryAccept != nil},
 		{"query-cancel", e.QueryCancel != nil},
+		{"query-confirm", e.QueryConfirm != nil},
 		{"query-forward", e.QueryForward != nil},
 		{"query-result", e.QueryResult != nil},
 		{"sub-requests", e.SubRequests != nil},
--- a/codec/kinds.go
+++ b/codec/kinds.go
@@ -17,6 +17,7 @@
 	KindCanaryReport  = "canary-report"
 	KindQueryForward  = "query-forward"
 	KindQueryAccept   = "query-accept"
+	KindQueryConfirm  = "query-confirm"
 	KindQueryResult   = "query-result"
 	KindQueryCancel   = "query-cancel"
 )
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -35,6 +35,10 @@
 	Relayed bool   // another VM took it from the client and passed it on
 	Version uint64 // least configuration version that may answer; 0 for any
 	Tried   int    // attempts at each shard that another VM may have made already
+
+	// Confirmed is closed once the VM that passed the query on waits for this one alone; before, this VM makes
+	// one attempt at each shard. Nil allows further attempts from the start.
+	Confirmed <-chan struct{}
 }
 
 // Response is what an upstream answered.
--- a/forward/query.go
+++ b/forward/query.go
@@ -69,6 +69,7 @@
 		CoverageRequired: true,
 		MaxAttempts:      max(q.route.MaxAttempts-q.req.Tried, 1),
 		NotIdempotent:    !q.route.Idempotent,
+		Held:             q.req.Confirmed != nil,
 	}
 	if q.route.Sharded() {
 		p.MinimumCoverage = q.route.MinCoverage
@@ -157,16 +158,22 @@
 // run sends the request and waits for the answer or the end of ctx.
 func (q *query) run(ctx context.Context) Answer {
 	q.follow(q.state.Start(time.Now()))
-	select {
-	case <-q.done:
-	case <-ctx.Done():
-		q.leave()
-		q.vm.stats.abandoned()
-		q.vm.events.Record(event.Abandoned, q.fields()...)
-		return Answer{Code: result.Cancelled}
-	}
-	q.release()
-	return q.answer()
+	confirmed := q.req.Confirmed
+	for {
+		select {
+		case <-q.done:
+			q.release()
+			return q.answer()
+		case <-confirmed:
+			confirmed = nil
+			q.follow(q.state.Release(time.Now()))
+		case <-ctx.Done():
+			q.leave()
+			q.vm.stats.abandoned()
+			q.vm.events.Record(event.Abandoned, q.fields()...)
+			return Answer{Code: result.Cancelled}
+		}
+	}
 }
 
 // follow does what a step of the state machine asks for.
--- a/gather/attempts.go
+++ b/gather/attempts.go
@@ -82,7 +82,7 @@
 // hedge sends a second attempt for each shard whose only pending attempt is late. A second canary
 // request needs the coordinator's leave, because it is a second upstream at risk.
 func (s *state[P]) hedge(now time.Time, st *Step) {
-	if s.plan.NotIdempotent {
+	if s.plan.NotIdempotent || s.plan.Held {
 		return
 	}
 	for i := range s.shards {
--- a/gather/gather.go
+++ b/gather/gather.go
@@ -43,6 +43,7 @@
 	AnswerBy         time.Time // answer at this time if MinimumCoverage is reached, instead of StragglerWait; zero for none
 	MaxAttempts      int       // attempts of one shard; 0 for the constant of that name
 	NotIdempotent    bool      // send no hedges, and retry only what has certainly not run
+	Held             bool      // make one attempt at each shard and no second one before Release
 	Canary           bool      // run one shard alone first, because the fingerprint is not known to be good
 }
 
--- a/gather/outcome.go
+++ b/gather/outcome.go
@@ -29,6 +29,8 @@
 		return st
 	case p.Code == result.Complete:
 		s.cover(now, p, &st)
+	case s.plan.Held:
+		s.failed = append(s.failed, p)
 	default:
 		s.retry(now, p, &st)
 	}
--- a/gather/query.go
+++ b/gather/query.go
@@ -27,6 +27,7 @@
 	canary  int  // index of the shard of the canary request, -1 when none is under way
 	reached time.Time
 	done    bool
+	failed  []Part[P] // ends of attempts that are followed by others after Release
 }
 
 type shard[P any] struct {
@@ -112,6 +113,24 @@
 	})
 }
 
+// Release allows second attempts in a query that was planned as held.
+func (q *Query[P]) Release(now time.Time) Step {
+	return table.Read(q.state, func(s *state[P]) Step {
+		if s.done || !s.plan.Held {
+			return Step{}
+		}
+		var st Step
+		s.plan.Held = false
+		for _, p := range s.failed {
+			s.retry(now, p, &st)
+		}
+		s.failed = nil
+		s.hedge(now, &st)
+		s.settle(now, &st)
+		return st
+	})
+}
+
 // Stop ends the query without an answer: later parts and wake-ups ask for nothing.
 func (q *Query[P]) Stop() {
 	q.state.With(func(s *state[P]) { s.done = true })
--- a/gather/script_test.go
+++ b/gather/script_test.go
@@ -74,6 +74,8 @@
 		return describe(b.query.Wake(now))
 	case "resume":
 		return describe(b.query.Resume(now, d.HasArg("canary"), refusal(d)))
+	case "release":
+		return describe(b.query.Release(now))
 	case "queued":
 		b.queued[d.CmdArgs[0].Key] = true
 		return ""
@@ -94,6 +96,7 @@
 	d.MaybeScanArgs(t, "hedges", &b.hedges)
 	d.MaybeScanArgs(t, "retries", &b.retries)
 	p.Canary = d.HasArg("canary")
+	p.Held = d.HasArg("held")
 	p.Deadline = now.Add(time.Duration(deadline) * time.Millisecond)
 	p.StragglerWait = time.Duration(wait) * time.Millisecond
 	p.MinimumCoverage = float64(coverage) / 100
--- a/member/member.go
+++ b/member/member.go
@@ -246,7 +246,7 @@
 // Receive takes a message of another VM.
 func (m *Member) Receive(from netip.AddrPort, e *wire.Envelope) {
 	switch e.Kind {
-	case codec.KindQueryForward, codec.KindQueryAccept, codec.KindQueryResult, codec.KindQueryCancel:
+	case codec.KindQueryForward, codec.KindQueryAccept, codec.KindQueryConfirm, codec.KindQueryResult, codec.KindQueryCancel:
 		m.queries.Receive(from, e)
 	default:
 		m.work.Submit(func() { m.handle(time.Now(), from, e) })
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -33,7 +33,7 @@
 
 	mu      sync.Mutex
 	asked   map[uint64]*asked
-	serving map[incoming]context.CancelFunc
+	serving map[incoming]*serving
 }
 
 // asked is a query that this VM passed on.
@@ -56,6 +56,17 @@
 	id   uint64
 }
 
+// serving is a query of another VM that is under way.
+type serving struct {
+	cancel    context.CancelFunc
+	confirmed chan struct{}
+	once      sync.Once
+}
+
+func (s *serving) confirm() {
+	s.once.Do(func() { close(s.confirmed) })
+}
+
 var _ forward.Relay = (*Relay)(nil)
 
 // New returns a relay that passes queries on to chosen aggregators and has the server answer those of other
@@ -64,7 +75,7 @@
 	r := &Relay{
 		chosen: chosen, peers: peers, server: server, events: events, paused: paused,
 		again: budget.NewTokens(againShare, againBurst),
-		asked: map[uint64]*asked{}, serving: map[incoming]context.CancelFunc{},
+		asked: map[uint64]*asked{}, serving: map[incoming]*serving{},
 	}
 	r.again.SetBurst(againBurst)
 	r.work = pool.New(workers, func(task func()) { task() })
@@ -124,6 +135,7 @@
 			accepted = true
 			taken.Stop()
 			r.chosen.Heard(c.vm)
+			r.peers.Send(c.vm, &wire.Envelope{Kind: codec.KindQueryConfirm, QueryConfirm: &wire.QueryConfirm{ID: c.id}})
 		case e := <-c.ended:
 			return r.end(e, c, req, accepted || len(c.accepted) > 0, l)
 		case <-taken.C:
@@ -158,7 +170,7 @@
 }
 
 // mayTryAgain reports whether another VM may run a query that one VM may have begun with, which counts as an
-// attempt at each shard: that VM is cancelled before it makes a second one.
+// attempt at each shard: without a confirmation that VM makes no second one.
 func (r *Relay) mayTryAgain(req *forward.Request, l forward.RelayLimits) bool {
 	if l.Attempts-req.Tried < 2 || !r.again.Take() {
 		return false
@@ -233,6 +245,13 @@
 		if c := r.find(from, e.QueryResult.ID); c != nil {
 			c.end(ended{answer: fromResult(e.QueryResult)})
 		}
+	case e.QueryConfirm != nil:
+		r.mu.Lock()
+		s := r.serving[incoming{from, e.QueryConfirm.ID}]
+		r.mu.Unlock()
+		if s != nil {
+			s.confirm()
+		}
 	case e.QueryCancel != nil:
 		r.stop(incoming{from, e.QueryCancel.ID})
 	}
@@ -258,8 +277,10 @@
 		return
 	}
 	ctx, cancel := context.WithCancel(context.Background())
+	s := &serving{cancel: cancel, confirmed: make(chan struct{})}
+	req.Confirmed = s.confirmed
 	r.mu.Lock()
-	r.serving[key] = cancel
+	r.serving[key] = s
 	r.mu.Unlock()
 	r.peers.Send(from, &wire.Envelope{Kind: codec.KindQueryAccept, QueryAccept: &wire.QueryAccept{ID: m.ID}})
 	if !r.work.Submit(func() { r.serve(ctx, key, req) }) {
@@ -282,11 +303,11 @@
 // stop ends a query of another VM, if it is under way.
 func (r *Relay) stop(key incoming) {
 	r.mu.Lock()
-	cancel := r.serving[key]
+	s := r.serving[key]
 	delete(r.serving, key)
 	r.mu.Unlock()
-	if cancel != nil {
-		cancel()
+	if s != nil {
+		s.cancel()
 	}
 }
 
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -63,26 +63,29 @@
 		b.sent = append(b.sent, e.Kind+" to "+vm.String())
 	}
 	b.mu.Unlock()
-	if e.QueryForward == nil {
-		return true
+	switch {
+	case e.QueryForward != nil:
+		return b.take(vm, e.QueryForward.ID, behaviour)
+	case e.QueryConfirm != nil && behaviour == "answer":
+		b.relay.Receive(vm, answer(e.QueryConfirm.ID, result.Complete))
+		b.relay.Receive(vm, answer(e.QueryConfirm.ID, result.Late)) // a second answer is dropped
+	case e.QueryConfirm != nil && behaviour == "lost":
+		b.relay.Lost(vm)
 	}
-	id := e.QueryForward.ID
+	return true
+}
+
+// take plays an aggregator that gets a query.
+func (b *bench) take(vm netip.AddrPort, id uint64, behaviour string) bool {
 	switch behaviour {
 	case "unconnected":
 		return false
-	case "answer":
+	case "answer", "lost", "slow":
 		b.relay.Receive(vm, &wire.Envelope{QueryAccept: &wire.QueryAccept{ID: id}})
-		b.relay.Receive(vm, answer(id, result.Complete))
-		b.relay.Receive(vm, answer(id, result.Late)) // a second answer is dropped
 	case "not-ready":
 		b.relay.Receive(vm, answer(id, result.NotReady))
 	case "broken":
 		b.relay.Lost(vm)
-	case "lost":
-		b.relay.Receive(vm, &wire.Envelope{QueryAccept: &wire.QueryAccept{ID: id}})
-		b.relay.Lost(vm)
-	case "slow":
-		b.relay.Receive(vm, &wire.Envelope{QueryAccept: &wire.QueryAccept{ID: id}})
 	}
 	return true
 }
@@ -96,6 +99,9 @@
 	b.mu.Lock()
 	b.served = append(b.served, fmt.Sprintf("%s %s of %s version %d %s", req.Method, req.Path, req.ID, req.Version, req.Header.Get("X-Kept")))
 	b.mu.Unlock()
+	if strings.HasSuffix(req.Path, "/confirm") {
+		<-req.Confirmed
+	}
 	if strings.HasSuffix(req.Path, "/hold") {
 		select {
 		case <-ctx.Done():
@@ -145,8 +151,8 @@
 		return b.ask(time.Second, duration(f[1]))
 	case "pause":
 		b.paused = true
-	case "query", "cancelled-query": // path
-		return b.query(t, f[0] == "cancelled-query", f[1])
+	case "query", "cancelled-query", "confirmed-query": // path
+		return b.query(t, f[0], f[1])
 	default:
 		t.Fatalf("unknown command %q", f[0])
 	}
@@ -172,7 +178,7 @@
 }
 
 // query has this VM answer a query of another one.
-func (b *bench) query(t *testing.T, cancel bool, path string) string {
+func (b *bench) query(t *testing.T, kind, path string) string {
 	from := netip.MustParseAddrPort("10.1.0.9:80")
 	m := &wire.QueryForward{
 		ID: 5, RequestID: "id", Method: http.MethodGet, Target: path + "?q=1", Left: time.Second, Version: 7,
@@ -181,7 +187,12 @@
 	b.relay.Receive(from, &wire.Envelope{QueryForward: m})
 	switch {
 	case b.paused:
-	case cancel:
+	case kind == "confirmed-query":
+		b.until(t, "the start of the query", func() bool { return len(b.served) > 0 })
+		b.relay.Receive(from, &wire.Envelope{QueryConfirm: &wire.QueryConfirm{ID: 5}})
+		b.relay.Receive(from, &wire.Envelope{QueryConfirm: &wire.QueryConfirm{ID: 5}}) // a second one does no harm
+		b.until(t, "a result", func() bool { return slices.Contains(b.sent, "query-result to "+from.String()) })
+	case kind == "cancelled-query":
 		b.until(t, "the start of the query", func() bool { return len(b.served) > 0 })
 		b.relay.Receive(from, &wire.Envelope{QueryCancel: &wire.QueryCancel{ID: 5}})
 		<-b.held
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -235,6 +235,9 @@
 	// QueryCancel corresponds to the JSON schema field "query-cancel".
 	QueryCancel *QueryCancel `json:"query-cancel,omitempty,omitzero"`
 
+	// QueryConfirm corresponds to the JSON schema field "query-confirm".
+	QueryConfirm *QueryConfirm `json:"query-confirm,omitempty,omitzero"`
+
 	// QueryForward corresponds to the JSON schema field "query-forward".
 	QueryForward *QueryForward `json:"query-forward,omitempty,omitzero"`
 
@@ -668,6 +671,13 @@
 	ID uint64 `json:"id"`
 }
 
+// QueryConfirm says that the sender waits for the aggregator that has begun with
+// its query, which may now make second attempts.
+type QueryConfirm struct {
+	// ID corresponds to the JSON schema field "id".
+	ID uint64 `json:"id"`
+}
+
 // QueryForward passes a client's query on to an aggregator.
 type QueryForward struct {
 	// Body corresponds to the JSON schema field "body".
