--- a/standin/shard/shard.go
+++ b/standin/shard/shard.go
@@ -77,6 +77,15 @@
 	_ = s.http.Close()
 }
 
+// ID returns the name of the server's lifetime.
+func (s *Server) ID() string { return s.id }
+
+// Service returns the service that the server belongs to.
+func (s *Server) Service() string { return s.service }
+
+// Zone returns the availability zone of the server.
+func (s *Server) Zone() string { return s.zone }
+
 // Address returns where the server listens.
 func (s *Server) Address() netip.AddrPort {
 	return netip.MustParseAddrPort(s.listener.Addr().String())
@@ -89,8 +98,13 @@
 
 // Entry returns what the server writes of itself into the store.
 func (s *Server) Entry(status string) []byte {
+	return s.EntryAt(s.Address(), status)
+}
+
+// EntryAt returns the entry of a server that is reached at another address, such as that of a proxy.
+func (s *Server) EntryAt(address netip.AddrPort, status string) []byte {
 	b, _ := json.Marshal(entry{ // strings and numbers only: it cannot fail
-		Service: s.service, Address: s.Address(), Zone: s.zone, Version: "v1", Capacity: 3,
+		Service: s.service, Address: address, Zone: s.zone, Version: "v1", Capacity: 3,
 		State: status, Sequence: 1, Born: time.Now().UnixMilli(),
 	})
 	return b
--- /dev/null
+++ b/standin/soak/acts.go
@@ -0,0 +1,183 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"syscall"
+	"time"
+
+	"pistachioshore.dev/standin/kv"
+	"pistachioshore.dev/standin/shard"
+)
+
+// act is one fault or planned act, drawn from the seed.
+type act struct {
+	at   time.Duration // since the start of the load
+	kind string
+	pick uint64        // chooses what it strikes
+	last time.Duration // how long it lasts
+}
+
+// kinds are the acts of a soak.
+var kinds = []string{
+	"kill", "kill", "pause", "stop", "server-slow", "server-silent", "server-mute", "server-reset", "server-crash", "server-behave",
+	"drain", "publish", "evacuate", "store-silent", "store-swallow", "store-busy", "store-reset", "store-cut", "compact", "lapse", "noise",
+}
+
+// schedule draws the acts of a seed; they come in series and overlap.
+func schedule(seed uint64, length time.Duration) []act {
+	r := rand.New(rand.NewPCG(seed, 1))
+	var acts []act
+	for at := time.Duration(0); at < length; {
+		for range 1 + r.IntN(3) {
+			last := 300*time.Millisecond + time.Duration(r.Int64N(int64(3*time.Second)))
+			acts = append(acts, act{at, kinds[r.IntN(len(kinds))], r.Uint64(), last})
+		}
+		at += 400*time.Millisecond + time.Duration(r.Int64N(int64(2*time.Second)))
+	}
+	return acts
+}
+
+// run carries out one act and returns when what it did is over.
+func (s *site) run(a act, done <-chan struct{}) {
+	now := time.Now()
+	until := now.Add(a.last)
+	s.history.act(fmt.Sprintf("%6.2fs %s for %.1fs (%x)", a.at.Seconds(), a.kind, a.last.Seconds(), a.pick&0xffff))
+	switch a.kind {
+	case "kill", "pause", "stop", "store-cut":
+		s.strikeVM(a, s.vms[a.pick%uint64(len(s.vms))], until, done)
+	case "publish":
+		s.publish(int(a.pick % 3))
+	case "evacuate":
+		s.evacuate(zoneB, a.last+evacuate, done)
+	case "store-silent", "store-swallow", "store-busy", "store-reset":
+		s.history.fault(now, until)
+		s.store.SetFault(map[string]kv.Fault{
+			"store-silent": kv.Silent, "store-swallow": kv.Swallow, "store-busy": kv.Busy, "store-reset": kv.Reset,
+		}[a.kind])
+		wait(a.last, done)
+		s.store.SetFault(kv.Sound)
+	case "compact":
+		s.store.Compact()
+	case "noise":
+		s.store.Put("servers/noise", []byte("not an entry"))
+	default:
+		live := s.live()
+		s.strikeServer(a, live[a.pick%uint64(len(live))], until, done)
+	}
+}
+
+// strikeVM signals a VM's process or cuts it off from the store.
+func (s *site) strikeVM(a act, v *vm, until time.Time, done <-chan struct{}) {
+	now := time.Now()
+	switch a.kind {
+	case "kill":
+		v.touch(until)
+		s.history.fault(now, until)
+		v.kill()
+		wait(a.last/4, done)
+		s.restart(v)
+	case "pause":
+		v.touch(until)
+		s.history.fault(now, until)
+		v.signal(syscall.SIGSTOP)
+		wait(a.last, done)
+		v.signal(syscall.SIGCONT)
+	case "store-cut":
+		v.touch(until)
+		s.history.fault(now, until)
+		v.store.set(Silent)
+		wait(a.last, done)
+		v.store.set(Pass)
+		v.store.reset() // what was dropped never arrives
+	case "stop":
+		v.stop()
+		if !v.ended(grace + boundSlack) {
+			s.history.problem(fmt.Sprintf("stop: %s still runs %v after SIGTERM", v.name, grace+boundSlack))
+			v.kill()
+		}
+		s.restart(v)
+	}
+}
+
+// restart starts a VM again; its first seconds count as a fault at it.
+func (s *site) restart(v *vm) {
+	v.touch(time.Now().Add(time.Second))
+	if err := v.start(); err != nil {
+		s.history.problem("start: " + err.Error())
+	}
+}
+
+// strikeServer harms one server or the way to it.
+func (s *site) strikeServer(a act, srv *server, until time.Time, done <-chan struct{}) {
+	s.history.fault(time.Now(), until)
+	switch a.kind {
+	case "server-slow", "server-silent", "server-mute":
+		srv.proxy.set(map[string]Way{"server-slow": Slow, "server-silent": Silent, "server-mute": Mute}[a.kind])
+		wait(a.last, done)
+		srv.proxy.set(Pass)
+		if a.kind != "server-slow" {
+			srv.proxy.reset()
+		}
+	case "server-reset":
+		srv.proxy.reset()
+	case "server-behave":
+		list := []shard.Behaviour{shard.Shedder, shard.Failing, shard.Losing, shard.Mute, shard.Unsign}
+		srv.Behave(list[a.pick/7%uint64(len(list))])
+		wait(a.last, done)
+		srv.Behave(shard.Sound)
+	case "lapse":
+		s.store.Lapse(srv.Key())
+		wait(time.Second, done)
+		s.store.Put(srv.Key(), srv.EntryAt(srv.proxy.address(), "ready"))
+	case "server-crash", "drain":
+		s.replace(a.kind == "drain", srv, done)
+	}
+}
+
+// replace has a server leave or crash, after another one of its service has started.
+func (s *site) replace(planned bool, srv *server, done <-chan struct{}) {
+	s.mu.Lock()
+	taken := srv.gone
+	srv.gone = true
+	s.mu.Unlock()
+	if taken {
+		return
+	}
+	if err := s.addServer(srv.Service(), srv.Zone()); err != nil {
+		s.history.problem("start a server: " + err.Error())
+		return
+	}
+	if !planned {
+		srv.proxy.close()
+		srv.Close()
+		wait(2*time.Second, done)
+		s.store.Delete(srv.Key())
+		return
+	}
+	s.store.Put(srv.Key(), srv.EntryAt(srv.proxy.address(), "draining"))
+	s.history.mu.Lock()
+	s.history.drained[srv.ID()] = time.Now()
+	s.history.mu.Unlock()
+}
+
+// evacuate takes a zone out and back.
+func (s *site) evacuate(zone string, last time.Duration, done <-chan struct{}) {
+	s.store.Put("op/evacuate/"+zone, []byte("{}"))
+	from := time.Now()
+	wait(last, done)
+	s.history.mu.Lock()
+	s.history.evacuate[zone] = append(s.history.evacuate[zone], span{from, time.Now()})
+	s.history.mu.Unlock()
+	s.store.Delete("op/evacuate/" + zone)
+}
+
+// wait returns after a time, or earlier once done is closed.
+func wait(d time.Duration, done <-chan struct{}) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-done:
+	}
+}
--- /dev/null
+++ b/standin/soak/load.go
@@ -0,0 +1,105 @@
+package soak
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+)
+
+// host is the name under which clients reach the tier.
+const host = "pupu.example"
+
+// client sends requests to one VM over a connection that it keeps until the VM closes it.
+type client struct {
+	vm     *vm
+	http   *http.Client
+	rand   *rand.Rand
+	nextID *atomic.Uint64
+	report func(c call)
+}
+
+func newClient(v *vm, seed uint64, nextID *atomic.Uint64, report func(c call)) *client {
+	dialer := &net.Dialer{Timeout: time.Second}
+	t := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, DisableCompression: true}
+	return &client{
+		vm: v, http: &http.Client{Transport: t, Timeout: deadline + 3*lateSlack}, rand: rand.New(rand.NewPCG(seed, 2)), nextID: nextID, report: report,
+	}
+}
+
+// run sends requests until done is closed.
+func (c *client) run(done <-chan struct{}) {
+	defer c.http.CloseIdleConnections()
+	for n := 0; ; n++ {
+		wait(requestEvery/2+time.Duration(c.rand.Int64N(int64(requestEvery))), done)
+		select {
+		case <-done:
+			return
+		default:
+		}
+		c.report(c.send(c.draw()))
+	}
+}
+
+// draw returns the route of the next request.
+func (c *client) draw() string {
+	switch n := c.rand.IntN(20); {
+	case n < 9:
+		return "look"
+	case n < 13:
+		return "job"
+	case n < 18:
+		return "order"
+	default:
+		return fmt.Sprintf("extra-%d", c.rand.IntN(3))
+	}
+}
+
+// send sends one request and returns how it ended.
+func (c *client) send(route string) call {
+	n := c.nextID.Add(1)
+	out := call{id: fmt.Sprintf("%016x", n), vm: c.vm, route: route, path: fmt.Sprintf("/%s/%d", route, n), sent: time.Now()}
+	method, body := http.MethodGet, ""
+	if route == "order" {
+		method, body = http.MethodPost, "pump "+out.id
+	}
+	r, err := http.NewRequest(method, "http://"+c.vm.front.String()+out.path, strings.NewReader(body))
+	if err != nil {
+		panic(err) // the address and path are the soak's own
+	}
+	r.GetBody = nil // keeps net/http from sending the request a second time
+	r.Host = host
+	r.Header.Set("X-Pistachioshore-Request-Id", out.id)
+	r.Header.Set("X-Pistachioshore-Deadline-Ms", strconv.FormatInt(deadline.Milliseconds(), 10))
+	resp, err := c.http.Do(r)
+	if err == nil {
+		out.take(resp)
+	}
+	out.ended = time.Now()
+	return out
+}
+
+// take reads an answer; one that breaks off counts as none.
+func (c *call) take(resp *http.Response) {
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return
+	}
+	c.status, c.body, c.stamp = resp.StatusCode, body, resp.Header.Get("X-Pistachioshore-Response-Stamp")
+	for _, s := range strings.Split(resp.Header.Get("X-Pistachioshore-Part-Stamps"), ",") {
+		if s = strings.TrimSpace(s); s != "" {
+			c.stamps = append(c.stamps, s)
+		}
+	}
+	missing, err := strconv.Atoi(resp.Header.Get("X-Pistachioshore-Missing-Parts"))
+	if err != nil {
+		missing = 0 // the header is absent
+	}
+	c.parts = len(c.stamps) + missing
+}
--- /dev/null
+++ b/standin/soak/vm.go
@@ -0,0 +1,176 @@
+package soak
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// vm is one VM, run as a process of its own.
+type vm struct {
+	name    string
+	zone    string
+	front   netip.AddrPort
+	ready   netip.AddrPort
+	control netip.AddrPort
+	store   *proxy
+	command []string
+	dir     string
+
+	mu      sync.Mutex
+	process *exec.Cmd
+	exited  chan struct{}
+	touched time.Time // end of the last fault at the VM
+	stopped time.Time // last SIGTERM
+}
+
+// settings are the platform's settings of a process, as far as the program reads them.
+type settings struct {
+	Name  string                    `json:"nodeName"`
+	Zone  string                    `json:"zone"`
+	IP    string                    `json:"ip"`
+	Zones map[string]string         `json:"zones"`
+	Bind  map[string]netip.AddrPort `json:"bindAddresses"`
+	Seeds []netip.AddrPort          `json:"seeds"`
+
+	Limits map[string]float64        `json:"limits"`
+	Bounds map[string]float64        `json:"bounds"`
+	Store  map[string]netip.AddrPort `json:"platform"`
+}
+
+// write writes the VM's settings file.
+func (v *vm) write(seeds []netip.AddrPort) error {
+	s := settings{
+		Name: v.name, Zone: v.zone, IP: "127.0.0.1", Zones: map[string]string{zoneA: region, zoneB: region},
+		Bind:   map[string]netip.AddrPort{"front": v.front, "ready": v.ready, "control": v.control},
+		Seeds:  seeds,
+		Limits: map[string]float64{"memoryMb": 284, "cpuShare": 0.4, "cores": 1},
+		Bounds: map[string]float64{"retryBudgetRatio": 0.2, "budgetExtraRetries": 52, "graceS": grace.Seconds(), "warmupOvershoot": 1.5, "warmupSlack": 5},
+		Store:  map[string]netip.AddrPort{"address": v.store.address()},
+	}
+	b, err := json.Marshal(s)
+	if err != nil {
+		return errors.Wrap(err, "encode the settings")
+	}
+	return errors.Wrap(os.WriteFile(v.settingsPath(), b, 0o600), "write the settings")
+}
+
+func (v *vm) settingsPath() string {
+	return filepath.Join(v.dir, v.name+".json")
+}
+
+// start starts the process; its lines go to a file in the soak's folder.
+func (v *vm) start() error {
+	out, err := os.OpenFile(filepath.Join(v.dir, v.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return errors.Wrap(err, "open the log of a VM")
+	}
+	defer func() { _ = out.Close() }() // the process has its own descriptor
+	cmd := exec.Command(v.command[0], v.command[1:]...)
+	cmd.Env = append(os.Environ(), "PISTACHIOSHORE_SETTINGS="+v.settingsPath())
+	cmd.Stdout, cmd.Stderr = out, out
+	if err := cmd.Start(); err != nil {
+		return errors.Wrap(err, "start a VM")
+	}
+	exited := make(chan struct{})
+	go func() {
+		_ = cmd.Wait() // how it ended does not matter to a soak that ends it itself
+		close(exited)
+	}()
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.process, v.exited = cmd, exited
+	return nil
+}
+
+// signal sends a signal to the process that this soak started; one that has ended gets none.
+func (v *vm) signal(s syscall.Signal) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.process != nil {
+		_ = v.process.Process.Signal(s)
+	}
+}
+
+// ended waits for the end of the process and reports whether it came in time.
+func (v *vm) ended(limit time.Duration) bool {
+	v.mu.Lock()
+	exited := v.exited
+	v.mu.Unlock()
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-exited:
+		return true
+	case <-timer.C:
+		return false
+	}
+}
+
+// touch notes a fault at the VM that lasts until the given time.
+func (v *vm) touch(until time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if until.After(v.touched) {
+		v.touched = until
+	}
+}
+
+// calm reports whether the VM was without faults for the contact time before at.
+func (v *vm) calm(at time.Time) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return at.Sub(v.touched) >= contact
+}
+
+// isReady asks the VM as the load balancer does.
+func (v *vm) isReady(client *http.Client) bool {
+	resp, err := client.Get("http://" + v.ready.String() + "/v1/ready")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// free returns an address of loopback that was free a moment ago, with a port that the kernel gives to no
+// other connection while the VM is restarted.
+func free() (netip.AddrPort, error) {
+	const first, count, tries = 10_000, 20_000, 100
+	var err error
+	for range tries {
+		var l net.Listener
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(first+rand.IntN(count)))
+		if l, err = net.Listen("tcp", address.String()); err == nil {
+			_ = l.Close()
+			return address, nil
+		}
+	}
+	return netip.AddrPort{}, errors.Wrap(err, "find a free port")
+}
+
+// kill ends the process at once.
+func (v *vm) kill() {
+	v.signal(syscall.SIGCONT) // so that a paused process ends as well
+	v.signal(syscall.SIGKILL)
+	v.ended(grace)
+}
+
+// stop begins the planned end of the process.
+func (v *vm) stop() {
+	v.mu.Lock()
+	v.stopped = time.Now()
+	v.mu.Unlock()
+	v.signal(syscall.SIGCONT)
+	v.signal(syscall.SIGTERM)
+}
