--- a/member/member.go
+++ b/member/member.go
@@ -221,12 +221,19 @@
 	h.Cursors, h.Fed = cursors, m.state.Fed()
 	h.Cores = m.self.Cores
 	h.ZoneMembers = m.roster.ZoneMembers(now)
-	if chosen := m.roster.Aggregators(now); len(chosen) > 0 {
+	chosen := m.roster.Aggregators(now)
+	if len(chosen) > 0 {
 		h.Heard = []wire.HeardPeer{} // in a large tier VMs need to know the aggregators only
-		h.Aggregators = m.toWire(now, chosen)
 	}
+	short := *h
+	h.Aggregators = m.toWire(now, chosen)
+	aggregating := slices.ContainsFunc(chosen, func(a aggregator.VM) bool { return a.Address == m.self.Address })
 	for _, vm := range m.links() {
-		m.peers.Send(vm, &wire.Envelope{Kind: codec.KindHeartbeat, Heartbeat: h})
+		beat := h
+		if !aggregating && slices.ContainsFunc(chosen, func(a aggregator.VM) bool { return a.Address == vm }) {
+			beat = &short // an aggregator knows the others
+		}
+		m.peers.Send(vm, &wire.Envelope{Kind: codec.KindHeartbeat, Heartbeat: beat})
 	}
 }
 
