--- a/standin/soak/site.go
+++ b/standin/soak/site.go
@@ -39,7 +39,7 @@
 }
 
 // newSite starts the store, the servers and the VMs.
-func newSite(command []string, dir string) (*site, error) {
+func newSite(set Settings) (*site, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for the store")
@@ -55,7 +55,7 @@
 		}
 	}
 	s.publish(0)
-	return s, s.startVMs(command, dir)
+	return s, s.startVMs(set)
 }
 
 // services returns the shards and the service of requests to one server.
@@ -67,13 +67,14 @@
 	return list
 }
 
-func (s *site) startVMs(command []string, dir string) error {
+func (s *site) startVMs(set Settings) error {
+	free := newPorts(set.Seed)
 	var seeds []netip.AddrPort
 	for n := range vmCount {
-		v := &vm{name: fmt.Sprintf("vm-%d", n), zone: []string{zoneA, zoneB}[n%2], command: command, dir: dir}
+		v := &vm{name: fmt.Sprintf("vm-%d", n), zone: []string{zoneA, zoneB}[n%2], command: set.Command, dir: set.Dir}
 		for _, a := range []*netip.AddrPort{&v.front, &v.ready, &v.control} {
 			var err error
-			if *a, err = free(); err != nil {
+			if *a, err = free.take(); err != nil {
 				return err
 			}
 		}
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -44,7 +44,7 @@
 
 // Run runs one soak; an error says that it could not be run.
 func Run(set Settings) (Report, error) {
-	s, err := newSite(set.Command, set.Dir)
+	s, err := newSite(set)
 	if s != nil {
 		defer s.close()
 	}
--- a/standin/soak/vm.go
+++ b/standin/soak/vm.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -125,14 +124,25 @@
 	return resp.StatusCode == http.StatusOK
 }
 
-// free returns an address of loopback that was free a moment ago, with a port that the kernel gives to no
-// other connection while the VM is restarted.
-func free() (netip.AddrPort, error) {
-	const first, count, tries = 10_000, 20_000, 100
+// ports gives out ports of loopback that the kernel gives to no other connection while a VM is restarted.
+type ports struct {
+	next uint16
+}
+
+// newPorts returns the ports of a seed, so that soaks of other seeds can run at the same time.
+func newPorts(seed uint64) *ports {
+	const first, each, seeds = 10_000, 200, 100
+	return &ports{first + each*uint16(seed%seeds)}
+}
+
+// take returns the next address that is free.
+func (p *ports) take() (netip.AddrPort, error) {
+	const tries = 100
 	var err error
 	for range tries {
 		var l net.Listener
-		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(first+rand.IntN(count)))
+		p.next++
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), p.next)
 		if l, err = net.Listen("tcp", address.String()); err == nil {
 			_ = l.Close()
 			return address, nil
