--- a/cmd/pistachio-soak/main.go
+++ b/cmd/pistachio-soak/main.go
@@ -43,22 +43,22 @@
 			tokens <- struct{}{}
 			defer func() { <-tokens }()
 			r, err := f.one(program, f.First+uint64(n))
-			results <- outcome{r, err}
+			results <- outcome{r, errors.Wrapf(err, "seed %d", f.First+uint64(n))}
 		}()
 	}
-	broken := false
-	for range f.Seeds {
+	var failed error
+	for range f.Seeds { // all of them, so that none leaves processes behind
 		o := <-results
 		if o.err != nil {
-			return o.err
+			failed = errors.CombineErrors(failed, o.err)
+			continue
 		}
 		fmt.Print(o.report)
-		broken = broken || len(o.report.Broken) > 0
-	}
-	if broken {
-		return errBroken
+		if len(o.report.Broken) > 0 {
+			failed = errors.CombineErrors(failed, errBroken)
+		}
 	}
-	return nil
+	return failed
 }
 
 // one runs one seed; its logs are kept if a promise did not hold.
