Let the number of aggregators follow the VMs of a zone, and have VMs learn from one of them first

Six aggregators carried the queries of all zones (the busiest at 70% of its processor), each VM kept in touch with all six, and each change made all of them ask the aggregator that told first.

Change: one aggregator for each 25 VMs of a zone, from two to eight; links to the own zone's and two others; a VM's home among its zone's aggregators tells it of changes, and others are asked only if the home does not within 0.6 s; a heartbeat to many VMs is encoded once.

--- a/aggregator/aggregator.go
+++ b/aggregator/aggregator.go
@@ -55,16 +55,16 @@
 	return max(s.Members, 1)
 }
 
-// Choose returns the aggregators of a tier: the perZone VMs of each zone with the most processor, by address
-// where they are equal. VMs that know the same tier choose the same.
-func Choose(vms []VM, perZone int) []VM {
+// Choose returns the aggregators of a tier: in each zone as many VMs as seats tells, those with the most
+// processor first, by address where they are equal. VMs that know the same tier choose the same.
+func Choose(vms []VM, seats func(zone string) int) []VM {
 	sorted := slices.SortedFunc(slices.Values(vms), func(a, b VM) int {
 		return cmp.Or(cmp.Compare(b.Cores, a.Cores), a.Address.Compare(b.Address))
 	})
 	taken := map[string]int{}
 	return slices.DeleteFunc(sorted, func(vm VM) bool {
 		taken[vm.Zone]++
-		return taken[vm.Zone] > perZone
+		return taken[vm.Zone] > seats(vm.Zone)
 	})
 }
 
--- a/aggregator/aggregator_test.go
+++ b/aggregator/aggregator_test.go
@@ -146,7 +146,7 @@
 		{Address: netip.MustParseAddrPort("10.1.0.2:80"), Zone: "brest-nord", Cores: 0.8},
 		{Address: netip.MustParseAddrPort("10.2.0.1:80"), Zone: "angers-est", Cores: 0.2},
 	}
-	for _, vm := range aggregator.Choose(vms, 1) {
+	for _, vm := range aggregator.Choose(vms, func(string) int { return 1 }) {
 		fmt.Println(vm.Zone, vm.Address)
 	}
 	// Output:
--- a/aggregator/options.go
+++ b/aggregator/options.go
@@ -3,15 +3,18 @@
 import "time"
 
 const (
-	// perZone is the number of aggregators of a zone: one, and one in case it fails.
-	perZone = 2
+	// leastSeats is the least number of aggregators of a zone: one, and one in case it fails. There is one for
+	// each membersPerSeat VMs of the zone, up to mostSeats: three zones then keep to the 30 connections of a server.
+	leastSeats     = 2
+	membersPerSeat = 25
+	mostSeats      = 8
 
 	// meshLimit is the largest tier in which each VM fans out by itself and hears all others. Servers of
 	// shards bear some 25 to 30 connections; with more VMs each would have less than two.
 	meshLimit = 16
 
 	// awayLinks is the number of aggregators of other zones that a VM keeps in touch with.
-	awayLinks = 4
+	awayLinks = 2
 
 	// introduction is the time for which a VM that was just found is told of the tier, whoever it reached.
 	introduction = 5 * time.Second
@@ -30,7 +33,7 @@
 	assumedMembers = 8
 
 	// aggregatorsPart is the part of the limits for queries over shards that the aggregators use.
-	aggregatorsPart = 0.7
+	aggregatorsPart = 0.8
 
 	// avoidFirst and avoidLongest bound the time for which an aggregator that did not take a query is
 	// avoided. The first is above a stall of a VM whose processor allowance is used up.
--- a/aggregator/roster.go
+++ b/aggregator/roster.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"pistachioshore.dev/table"
 )
 
@@ -95,6 +97,39 @@
 	return table.Read(r.state, func(s *roster) []VM { return s.aggregators(now) })
 }
 
+// Home returns the aggregator of its own zone that a VM of a large tier learns from first; these share the
+// zone's VMs by the VMs' addresses. It returns false for a zone without one.
+func (r *Roster) Home(now time.Time, vm VM) (netip.AddrPort, bool) {
+	return table.Read2(r.state, func(s *roster) (netip.AddrPort, bool) { return home(s.aggregators(now), vm) })
+}
+
+// Followers returns the VMs whose home this VM is.
+func (r *Roster) Followers(now time.Time) []netip.AddrPort {
+	return table.Read(r.state, func(s *roster) []netip.AddrPort {
+		chosen := s.aggregators(now)
+		var list []netip.AddrPort
+		for vm, m := range s.members {
+			if h, ok := home(chosen, m.VM); ok && h == s.self.Address {
+				list = append(list, vm)
+			}
+		}
+		return list
+	})
+}
+
+func home(chosen []VM, vm VM) (netip.AddrPort, bool) {
+	var own []VM
+	for _, c := range chosen {
+		if c.Zone == vm.Zone {
+			own = append(own, c)
+		}
+	}
+	if len(own) == 0 {
+		return netip.AddrPort{}, false
+	}
+	return own[xxhash.Sum64String(vm.Address.String())%uint64(len(own))].Address, true
+}
+
 // Linked reports whether this VM keeps in touch with another one.
 func (r *Roster) Linked(now time.Time, vm netip.AddrPort) bool {
 	return table.Read(r.state, func(s *roster) bool { return s.linked(now, vm) })
@@ -138,17 +173,26 @@
 	return zones
 }
 
-// count takes for each zone the greatest number that a VM there knows, because no VM of a large tier hears
-// all others.
-func (s *roster) count(now time.Time) int {
+// seats returns the number of aggregators of a zone: their processors carry the queries of all its VMs.
+func seats(members int) int {
+	return min(max((members+membersPerSeat-1)/membersPerSeat, leastSeats), mostSeats)
+}
+
+// zones counts the VMs of each zone. It takes the greatest number that a VM there knows, because no VM of a
+// large tier hears all others.
+func (s *roster) zones(now time.Time) map[string]int {
 	zones := s.known(now)
 	for _, m := range s.members {
 		if now.Sub(m.heard) < remembered {
 			zones[m.Zone] = max(zones[m.Zone], m.zoneMembers)
 		}
 	}
+	return zones
+}
+
+func (s *roster) count(now time.Time) int {
 	n := 0
-	for _, members := range zones {
+	for _, members := range s.zones(now) {
 		n += members
 	}
 	if now.Sub(s.started) < settled {
@@ -170,7 +214,8 @@
 			live = append(live, m.VM)
 		}
 	}
-	return Choose(live, perZone)
+	members := s.zones(now)
+	return Choose(live, func(zone string) int { return seats(members[zone]) })
 }
 
 func (s *roster) linked(now time.Time, vm netip.AddrPort) bool {
--- a/member/member.go
+++ b/member/member.go
@@ -74,6 +74,8 @@
 	linked    map[netip.AddrPort]bool
 	asked     time.Time // when a state was last asked for
 	source    time.Time // last heartbeat of an aggregator that the platform answers
+	home      time.Time // the same of this VM's home
+	behind    time.Time // since when others know more; zero if they do not
 	announced aggregator.Shares
 }
 
@@ -161,11 +163,12 @@
 	m.state.Follow(on)
 }
 
-// StateChanged tells the VMs that follow this one of a change at once.
+// StateChanged tells the VMs whose home this one is of a change at once.
 func (m *Member) StateChanged(now time.Time) {
-	if table.Read(m.seen, func(c *contacts) bool { return c.announced.Aggregating }) {
-		m.heartbeat(now)
+	if !table.Read(m.seen, func(c *contacts) bool { return c.announced.Aggregating }) {
+		return
 	}
+	m.peers.SendAll(m.roster.Followers(now), &wire.Envelope{Kind: codec.KindHeartbeat, Heartbeat: m.beat(now)})
 }
 
 // link opens a connection to a VM with which this one keeps in touch.
@@ -211,7 +214,8 @@
 	}
 }
 
-func (m *Member) heartbeat(now time.Time) {
+// beat returns what this VM tells of itself.
+func (m *Member) beat(now time.Time) *wire.Heartbeat {
 	cursors := m.state.Cursors()
 	var revision uint64
 	if len(cursors) > 0 {
@@ -221,20 +225,32 @@
 	h.Cursors, h.Fed = cursors, m.state.Fed()
 	h.Cores = m.self.Cores
 	h.ZoneMembers = m.roster.ZoneMembers(now)
-	chosen := m.roster.Aggregators(now)
-	if len(chosen) > 0 {
+	if len(m.roster.Aggregators(now)) > 0 {
 		h.Heard = []wire.HeardPeer{} // in a large tier VMs need to know the aggregators only
 	}
-	short := *h
-	h.Aggregators = m.toWire(now, chosen)
-	aggregating := slices.ContainsFunc(chosen, func(a aggregator.VM) bool { return a.Address == m.self.Address })
-	for _, vm := range m.links() {
-		beat := h
-		if !aggregating && slices.ContainsFunc(chosen, func(a aggregator.VM) bool { return a.Address == vm }) {
-			beat = &short // an aggregator knows the others
+	return h
+}
+
+func (m *Member) heartbeat(now time.Time) {
+	h := m.beat(now)
+	chosen := m.roster.Aggregators(now)
+	isChosen := func(vm netip.AddrPort) bool {
+		return slices.ContainsFunc(chosen, func(a aggregator.VM) bool { return a.Address == vm })
+	}
+	links := m.links()
+	if !isChosen(m.self.Address) { // the aggregators tell one another of the others
+		var aggregators []netip.AddrPort
+		for _, vm := range links {
+			if isChosen(vm) {
+				aggregators = append(aggregators, vm)
+			}
 		}
-		m.peers.Send(vm, &wire.Envelope{Kind: codec.KindHeartbeat, Heartbeat: beat})
+		m.peers.SendAll(aggregators, &wire.Envelope{Kind: codec.KindHeartbeat, Heartbeat: h})
+		links = slices.DeleteFunc(links, isChosen)
 	}
+	full := *h
+	full.Aggregators = m.toWire(now, chosen)
+	m.peers.SendAll(links, &wire.Envelope{Kind: codec.KindHeartbeat, Heartbeat: &full})
 }
 
 // toWire returns the aggregators with the age of what is known of them.
@@ -290,20 +306,32 @@
 	if found || h.Leaving {
 		m.announce(now)
 	}
+	home, ok := m.roster.Home(now, m.self)
 	if h.Fed && slices.ContainsFunc(m.roster.Aggregators(now), func(a aggregator.VM) bool { return a.Address == from }) {
-		m.seen.With(func(c *contacts) { c.source = now })
+		m.seen.With(func(c *contacts) {
+			c.source = now
+			if ok && from == home {
+				c.home = now
+			}
+		})
 	}
-	m.ask(now, from, h.Cursors)
+	m.ask(now, from, ok && from != home, h.Cursors)
 }
 
-// ask asks another VM for its state if that would tell something new.
-func (m *Member) ask(now time.Time, from netip.AddrPort, cursors []uint64) {
-	if !m.state.Wanted(cursors) {
-		return
-	}
+// ask asks another VM for its state if that would tell something new. One that is not this VM's home is asked
+// only if the home does not tell it meanwhile, so that few VMs ask one aggregator.
+func (m *Member) ask(now time.Time, from netip.AddrPort, away bool, cursors []uint64) {
+	wanted := m.state.Wanted(cursors)
 	due := false
 	m.seen.With(func(c *contacts) {
-		due = now.Sub(c.asked) >= askEvery
+		switch {
+		case !wanted && !away:
+			c.behind = time.Time{}
+		case wanted && c.behind.IsZero():
+			c.behind = now
+		}
+		patient := away && now.Sub(c.home) < sourceSilence && now.Sub(c.behind) < homeFirst
+		due = wanted && !patient && now.Sub(c.asked) >= askEvery
 		if due {
 			c.asked = now
 		}
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -91,6 +91,13 @@
 	return nil
 }
 
+// SendAll notes the messages.
+func (b *bench) SendAll(vms []netip.AddrPort, e *wire.Envelope) {
+	for _, vm := range vms {
+		b.Send(vm, e)
+	}
+}
+
 var start = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
 
 // TestScripts guards how many VMs share the limits of upstreams, also while some are silent, and that a
@@ -150,6 +157,11 @@
 			fmt.Sscan(f[5], &h.Cores)
 			b.member.handle(now, vm, &wire.Envelope{Kind: codec.KindHeartbeat, Heartbeat: h})
 		}
+	case "know": // an aggregator, and the revision that it knows
+		h := &wire.Heartbeat{VM: from, Zone: map[bool]string{true: "angers-est", false: "brest-nord"}[f[2] > "4"], Incarnation: 5, Cores: 0.8, Fed: true}
+		h.Cursors = make([]uint64, 1)
+		fmt.Sscan(f[3], &h.Cursors[0])
+		b.member.handle(now, from, &wire.Envelope{Kind: codec.KindHeartbeat, Heartbeat: h})
 	case "show":
 		b.shown = append(b.shown, fmt.Sprintf("at %d ms linked %v following %t", ms, b.member.links(), b.following))
 	case "forward":
--- a/member/options.go
+++ b/member/options.go
@@ -10,6 +10,9 @@
 	// askEvery is the least time between two requests for the state of another VM; an answer takes less.
 	askEvery = 200 * time.Millisecond
 
+	// homeFirst is the time that a VM's home has to tell what other aggregators know.
+	homeFirst = 600 * time.Millisecond
+
 	// sourceSilence is the silence of all aggregators that the platform answers, after which a VM reads the
 	// platform itself. Two heartbeats may be late; the shortest bound on a change in force is 3 s.
 	sourceSilence = 2500 * time.Millisecond
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -75,6 +75,9 @@
 	return true
 }
 
+// SendAll does nothing; queries go to one VM.
+func (b *bench) SendAll([]netip.AddrPort, *wire.Envelope) {}
+
 // take plays an aggregator that gets a query.
 func (b *bench) take(vm netip.AddrPort, id uint64, behaviour string) bool {
 	switch behaviour {
--- a/standin/soak/acts.go
+++ b/standin/soak/acts.go
@@ -167,8 +167,12 @@
 	s.history.mu.Unlock()
 }
 
-// evacuate takes a zone out and back.
+// evacuate takes a zone out and back, unless it is out already: the end of one act would take it back during another.
 func (s *site) evacuate(zone string, last time.Duration, done <-chan struct{}) {
+	if !s.out.CompareAndSwap(false, true) {
+		return
+	}
+	defer s.out.Store(false)
 	s.store.Put("op/evacuate/"+zone, []byte("{}"))
 	from := time.Now()
 	wait(last, done)
--- a/standin/soak/site.go
+++ b/standin/soak/site.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -23,6 +24,7 @@
 	address netip.AddrPort
 	vms     []*vm
 	history *history
+	out     atomic.Bool // zoneB is evacuated
 
 	mu      sync.Mutex
 	servers []*server
--- a/transport/socket/link.go
+++ b/transport/socket/link.go
@@ -27,7 +27,7 @@
 
 	mu        sync.Mutex
 	connected bool
-	queue     []*wire.Envelope
+	queue     []*outgoing
 }
 
 func newLink(h *Hub, vm netip.AddrPort, r Receiver) *link {
@@ -37,7 +37,7 @@
 }
 
 // push queues a message if a connection is open.
-func (l *link) push(m *wire.Envelope) bool {
+func (l *link) push(m *outgoing) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !l.connected || len(l.queue) >= l.hub.opts.queue {
@@ -84,7 +84,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.connected = open
-	unsent := l.queue
+	var unsent []*wire.Envelope
+	for _, m := range l.queue {
+		unsent = append(unsent, m.message)
+	}
 	l.queue = nil
 	return unsent
 }
@@ -125,7 +128,7 @@
 }
 
 // next takes the next message off the queue; shard results that follow one another share a frame.
-func (l *link) next() *wire.Envelope {
+func (l *link) next() *outgoing {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if len(l.queue) == 0 {
@@ -133,13 +136,13 @@
 	}
 	m := l.queue[0]
 	l.queue = l.queue[1:]
-	if m.Kind != codec.KindParts {
+	if m.message.Kind != codec.KindParts {
 		return m
 	}
-	joined := &wire.Parts{Items: append([]wire.Part(nil), m.Parts.Items...)}
-	for len(l.queue) > 0 && l.queue[0].Kind == codec.KindParts && len(joined.Items) < maxPartsPerFrame {
-		joined.Items = append(joined.Items, l.queue[0].Parts.Items...)
+	joined := &wire.Parts{Items: append([]wire.Part(nil), m.message.Parts.Items...)}
+	for len(l.queue) > 0 && l.queue[0].message.Kind == codec.KindParts && len(joined.Items) < maxPartsPerFrame {
+		joined.Items = append(joined.Items, l.queue[0].message.Parts.Items...)
 		l.queue = l.queue[1:]
 	}
-	return &wire.Envelope{Kind: codec.KindParts, Parts: joined}
+	return l.hub.outgoing(&wire.Envelope{Kind: codec.KindParts, Parts: joined})
 }
--- a/transport/socket/socket.go
+++ b/transport/socket/socket.go
@@ -101,7 +101,29 @@
 	h.mu.Lock()
 	l := h.links[vm]
 	h.mu.Unlock()
-	return l != nil && l.push(message)
+	return l != nil && l.push(h.outgoing(message))
+}
+
+// SendAll queues a message for several VMs; it is encoded once.
+func (h *Hub) SendAll(vms []netip.AddrPort, message *wire.Envelope) {
+	m := h.outgoing(message)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, vm := range vms {
+		if l := h.links[vm]; l != nil {
+			l.push(m)
+		}
+	}
+}
+
+// outgoing is a message that may go to several VMs.
+type outgoing struct {
+	message *wire.Envelope
+	frame   func() ([]byte, error) // encodes it once
+}
+
+func (h *Hub) outgoing(m *wire.Envelope) *outgoing {
+	return &outgoing{m, sync.OnceValues(func() ([]byte, error) { return h.codec.EncodeFrame(m) })}
 }
 
 // Peers lists the VMs that a connection is kept to.
@@ -210,15 +232,15 @@
 		return nil, err
 	}
 	hello := h.self
-	if err := h.write(ctx, c, &wire.Envelope{Kind: codec.KindHello, Hello: &hello}); err != nil {
+	if err := h.write(ctx, c, h.outgoing(&wire.Envelope{Kind: codec.KindHello, Hello: &hello})); err != nil {
 		_ = c.CloseNow()
 		return nil, err
 	}
 	return c, nil
 }
 
-func (h *Hub) write(ctx context.Context, c *websocket.Conn, m *wire.Envelope) error {
-	frame, err := h.codec.EncodeFrame(m)
+func (h *Hub) write(ctx context.Context, c *websocket.Conn, m *outgoing) error {
+	frame, err := m.frame()
 	if err != nil {
 		return err
 	}
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -85,4 +85,6 @@
 	Forget(vm netip.AddrPort)
 	// Send queues a message without blocking; false means that it was not sent.
 	Send(vm netip.AddrPort, message *wire.Envelope) bool
+	// SendAll queues a message for several VMs and encodes it once.
+	SendAll(vms []netip.AddrPort, message *wire.Envelope)
 }
