--- a/standin/soak/site.go
+++ b/standin/soak/site.go
@@ -28,9 +28,10 @@
 
 	mu      sync.Mutex
 	servers []*server
-	extra   int // routes beyond the first ones
-	version int
 	number  int // of servers started
+
+	publishing sync.Mutex
+	version    int // of the last configuration
 }
 
 // server is one lifetime of a server behind its proxy.
@@ -121,11 +122,10 @@
 
 // publish writes a configuration with a number of further routes.
 func (s *site) publish(extra int) {
-	s.mu.Lock()
-	s.extra = extra
+	s.publishing.Lock() // versions reach the store in their order
+	defer s.publishing.Unlock()
 	s.version += 3
 	version := s.version
-	s.mu.Unlock()
 	shards := services()[1:]
 	list := []route{
 		{Name: "look", Type: "idempotent", Gather: shards, TopK: topK, MinSuccess: 0.5},
