--- a/member/member.go
+++ b/member/member.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -154,118 +153,6 @@
 	m.follow(now)
 }
 
-// follow has a VM of a large tier learn of the platform from the aggregators, as long as it hears one that the
-// platform answers: the calls to the platform are limited over all VMs.
-func (m *Member) follow(now time.Time) {
-	on := table.Read(m.seen, func(c *contacts) bool {
-		return c.announced.Aggregators > 0 && !c.announced.Aggregating && now.Sub(c.source) < sourceSilence
-	})
-	m.state.Follow(on)
-}
-
-// StateChanged tells the VMs whose home this one is of a change at once.
-func (m *Member) StateChanged(now time.Time) {
-	if !table.Read(m.seen, func(c *contacts) bool { return c.announced.Aggregating }) {
-		return
-	}
-	m.peers.SendAll(m.roster.Followers(now), &wire.Envelope{Kind: codec.KindHeartbeat, Heartbeat: m.beat(now)})
-}
-
-// link opens a connection to a VM with which this one keeps in touch.
-func (m *Member) link(now time.Time, vm netip.AddrPort) {
-	if vm == m.self.Address || !m.roster.Linked(now, vm) {
-		return
-	}
-	m.seen.With(func(c *contacts) { c.linked[vm] = true })
-	m.peers.Connect(vm)
-}
-
-// unlink closes the connections to VMs with which this one no longer keeps in touch.
-func (m *Member) unlink(now time.Time) {
-	for _, vm := range m.links() {
-		if m.roster.Linked(now, vm) {
-			continue
-		}
-		m.seen.With(func(c *contacts) { delete(c.linked, vm) })
-		m.peers.Forget(vm)
-	}
-}
-
-// links returns the VMs that a connection is kept to.
-func (m *Member) links() []netip.AddrPort {
-	return table.Read(m.seen, func(c *contacts) []netip.AddrPort {
-		return slices.SortedFunc(maps.Keys(c.linked), netip.AddrPort.Compare)
-	})
-}
-
-// announce tells changes of the tier: the aggregators, and the VMs that share limits.
-func (m *Member) announce(now time.Time) {
-	chosen := m.roster.Aggregators(now)
-	m.chosen.Set(chosen)
-	shares := aggregator.Shares{Members: m.roster.Count(now), Aggregators: len(chosen)}
-	shares.Aggregating = slices.ContainsFunc(chosen, func(vm aggregator.VM) bool { return vm.Address == m.self.Address })
-	differs := false
-	m.seen.With(func(c *contacts) {
-		differs = shares != c.announced
-		c.announced = shares
-	})
-	if differs {
-		m.listener.Share(shares)
-	}
-}
-
-// beat returns what this VM tells of itself.
-func (m *Member) beat(now time.Time) *wire.Heartbeat {
-	cursors := m.state.Cursors()
-	var revision uint64
-	if len(cursors) > 0 {
-		revision = slices.Max(cursors)
-	}
-	h := codec.ToWireHeartbeat(m.fleet.Heartbeat(now, revision, 0, true))
-	h.Cursors, h.Fed = cursors, m.state.Fed()
-	h.Cores = m.self.Cores
-	h.ZoneMembers = m.roster.ZoneMembers(now)
-	if len(m.roster.Aggregators(now)) > 0 {
-		h.Heard = []wire.HeardPeer{} // in a large tier VMs need to know the aggregators only
-	}
-	return h
-}
-
-func (m *Member) heartbeat(now time.Time) {
-	h := m.beat(now)
-	chosen := m.roster.Aggregators(now)
-	isChosen := func(vm netip.AddrPort) bool {
-		return slices.ContainsFunc(chosen, func(a aggregator.VM) bool { return a.Address == vm })
-	}
-	links := m.links()
-	if !isChosen(m.self.Address) { // the aggregators tell one another of the others
-		var aggregators []netip.AddrPort
-		for _, vm := range links {
-			if isChosen(vm) {
-				aggregators = append(aggregators, vm)
-			}
-		}
-		m.peers.SendAll(aggregators, &wire.Envelope{Kind: codec.KindHeartbeat, Heartbeat: h})
-		links = slices.DeleteFunc(links, isChosen)
-	}
-	full := *h
-	full.Aggregators = m.toWire(now, chosen)
-	m.peers.SendAll(links, &wire.Envelope{Kind: codec.KindHeartbeat, Heartbeat: &full})
-}
-
-// toWire returns the aggregators with the age of what is known of them.
-func (m *Member) toWire(now time.Time, chosen []aggregator.VM) []wire.TierMember {
-	list := make([]wire.TierMember, 0, len(chosen))
-	for _, vm := range chosen {
-		t := wire.TierMember{VM: vm.Address, Zone: vm.Zone, Cores: vm.Cores}
-		if vm.Address != m.self.Address {
-			t.Age = now.Sub(m.roster.Heard(vm.Address))
-		}
-		list = append(list, t)
-	}
-	return list
-}
-
 // Receive takes a message of another VM.
 func (m *Member) Receive(from netip.AddrPort, e *wire.Envelope) {
 	switch e.Kind {
@@ -318,29 +205,6 @@
 	m.ask(now, from, ok && from != home, h.Cursors)
 }
 
-// ask asks another VM for its state if that would tell something new. One that is not this VM's home is asked
-// only if the home does not tell it meanwhile, so that few VMs ask one aggregator.
-func (m *Member) ask(now time.Time, from netip.AddrPort, away bool, cursors []uint64) {
-	wanted := m.state.Wanted(cursors)
-	due := false
-	m.seen.With(func(c *contacts) {
-		switch {
-		case !wanted && !away:
-			c.behind = time.Time{}
-		case wanted && c.behind.IsZero():
-			c.behind = now
-		}
-		patient := away && now.Sub(c.home) < sourceSilence && now.Sub(c.behind) < homeFirst
-		due = wanted && !patient && now.Sub(c.asked) >= askEvery
-		if due {
-			c.asked = now
-		}
-	})
-	if due {
-		m.peers.Send(from, &wire.Envelope{Kind: codec.KindConfigRequest, ConfigRequest: &wire.ConfigRequest{Cursors: m.state.Cursors()}})
-	}
-}
-
 // hearCrash takes a crash that another VM saw. In a large tier it reached this VM alone, which passes it on.
 func (m *Member) hearCrash(now time.Time, from netip.AddrPort, r *wire.CanaryReport) {
 	if m.listener.Crashed(r.Fingerprint, r.Upstream) && len(m.roster.Aggregators(now)) > 0 {
@@ -362,15 +226,6 @@
 	}
 }
 
-func (m *Member) export(to netip.AddrPort, since []uint64) {
-	state, err := m.state.Export(since)
-	if err != nil {
-		m.events.Record(event.Problem, event.F(event.Reason, "state for another VM"), event.F(event.Peer, to), event.F(event.Error, err))
-		return
-	}
-	m.peers.Send(to, &wire.Envelope{Kind: codec.KindConfigValue, ConfigValue: &wire.ConfigValue{Value: state}})
-}
-
 // Undelivered drops messages that never left: the next heartbeat replaces them, and a query that was passed
 // on is told of by Lost.
 func (m *Member) Undelivered(netip.AddrPort, []*wire.Envelope) {}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"net/netip"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -50,23 +49,6 @@
 	lost   bool // the connection to the aggregator broke
 }
 
-// incoming names a query of another VM.
-type incoming struct {
-	from netip.AddrPort
-	id   uint64
-}
-
-// serving is a query of another VM that is under way.
-type serving struct {
-	cancel    context.CancelFunc
-	confirmed chan struct{}
-	once      sync.Once
-}
-
-func (s *serving) confirm() {
-	s.once.Do(func() { close(s.confirmed) })
-}
-
 var _ forward.Relay = (*Relay)(nil)
 
 // New returns a relay that passes queries on to chosen aggregators and has the server answer those of other
@@ -266,92 +248,3 @@
 	}
 	return nil
 }
-
-// begin has a worker answer the query of another VM. One that arrived while this process stood still is
-// dropped: its sender has turned to another VM.
-func (r *Relay) begin(from netip.AddrPort, m *wire.QueryForward) {
-	key := incoming{from, m.ID}
-	req := fromForward(m, time.Now())
-	if r.paused() {
-		r.note(req, from, "arrived during a pause of this VM")
-		return
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	s := &serving{cancel: cancel, confirmed: make(chan struct{})}
-	req.Confirmed = s.confirmed
-	r.mu.Lock()
-	r.serving[key] = s
-	r.mu.Unlock()
-	r.peers.Send(from, &wire.Envelope{Kind: codec.KindQueryAccept, QueryAccept: &wire.QueryAccept{ID: m.ID}})
-	if !r.work.Submit(func() { r.serve(ctx, key, req) }) {
-		r.stop(key)
-	}
-}
-
-// serve answers one query of another VM.
-func (r *Relay) serve(ctx context.Context, key incoming, req *forward.Request) {
-	defer r.stop(key)
-	if ctx.Err() != nil {
-		return
-	}
-	a := r.server.Serve(ctx, req)
-	if a.Code != result.Cancelled {
-		r.peers.Send(key.from, toResult(key.id, a))
-	}
-}
-
-// stop ends a query of another VM, if it is under way.
-func (r *Relay) stop(key incoming) {
-	r.mu.Lock()
-	s := r.serving[key]
-	delete(r.serving, key)
-	r.mu.Unlock()
-	if s != nil {
-		s.cancel()
-	}
-}
-
-// toForward returns the message for a query.
-func toForward(id uint64, req *forward.Request, l forward.RelayLimits) *wire.Envelope {
-	now := time.Now()
-	m := &wire.QueryForward{
-		ID: id, RequestID: req.ID, Method: req.Method, Target: req.Target, Host: req.Host, Header: []wire.HeaderLine{},
-		Body: append([]byte{}, req.Body...), Waited: now.Sub(req.Arrived), Transit: req.Transit + hop,
-		Left: max(l.Until.Sub(now)-hop, time.Millisecond), Version: l.Version, Tried: req.Tried,
-	}
-	for name, values := range req.Header {
-		for _, v := range values {
-			m.Header = append(m.Header, wire.HeaderLine{Name: name, Value: v})
-		}
-	}
-	return &wire.Envelope{Kind: codec.KindQueryForward, QueryForward: m}
-}
-
-// fromForward returns the request of a message that arrived at now.
-func fromForward(m *wire.QueryForward, now time.Time) *forward.Request {
-	req := &forward.Request{
-		ID: m.RequestID, Method: m.Method, Target: m.Target, Host: m.Host, Body: m.Body, Header: map[string][]string{},
-		Arrived: now.Add(-m.Waited), Deadline: now.Add(m.Left), Transit: m.Transit, Relayed: true, Version: m.Version, Tried: m.Tried,
-	}
-	req.Path, _, _ = strings.Cut(m.Target, "?")
-	for _, h := range m.Header {
-		req.Header[h.Name] = append(req.Header[h.Name], h.Value)
-	}
-	return req
-}
-
-// toResult returns the message for an answer.
-func toResult(id uint64, a forward.Answer) *wire.Envelope {
-	m := &wire.QueryResult{
-		ID: id, Code: int(a.Code), Records: append([]byte{}, a.Records...), Stamps: append([]string{}, a.Stamps...),
-		Missing: a.Missing, RetryAfter: a.RetryAfter,
-	}
-	return &wire.Envelope{Kind: codec.KindQueryResult, QueryResult: m}
-}
-
-// fromResult returns the answer of a message.
-func fromResult(m *wire.QueryResult) forward.Answer {
-	return forward.Answer{
-		Code: result.Code(m.Code), Records: m.Records, Stamps: m.Stamps, Missing: m.Missing, RetryAfter: m.RetryAfter, Sharded: true,
-	}
-}
