--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -26,11 +26,26 @@
 
 // bench is a VM whose upstreams behave as a script says.
 type bench struct {
+	t        *testing.T
 	routes   *route.Store
 	replicas *replica.Table
 	sender   *sender
 	vm       *forward.VM
 	version  uint64
+	relay    string // what becomes of queries that are passed on
+	passed   int
+}
+
+// Relay passes a query on as the script says.
+func (b *bench) Relay(_ context.Context, req *forward.Request, l forward.RelayLimits) (forward.Answer, netip.AddrPort, bool) {
+	b.passed++
+	switch b.relay {
+	case "answered":
+		return forward.Answer{Code: result.Complete, Stamps: []string{"by-another"}, Records: []byte("xx"), Sharded: true}, netip.AddrPort{}, true
+	case "tried":
+		req.Tried = l.Attempts - 1
+	}
+	return forward.Answer{}, netip.AddrPort{}, false
 }
 
 // sender answers attempts by the behaviours of their servers, one for each attempt and the last for all later ones.
@@ -103,8 +118,8 @@
 	p.s.closed++
 }
 
-func newBench() *bench {
-	b := &bench{routes: route.NewStore(), sender: &sender{behaviours: map[string][]string{}}}
+func newBench(t *testing.T) *bench {
+	b := &bench{t: t, routes: route.NewStore(), sender: &sender{behaviours: map[string][]string{}}}
 	b.replicas = replica.New(replica.Settings{Zone: "brest-nord"})
 	s := forward.Settings{RetryShare: 0.2, RetryBurst: 52, MaxInFlight: 8, Workers: 2}
 	b.vm = forward.New(s, b.routes, b.replicas, b.sender, event.Discard{})
@@ -115,7 +130,7 @@
 // to how many of them its request is sent.
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
-		b := newBench()
+		b := newBench(t)
 		defer b.vm.Close()
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			switch d.Cmd {
@@ -127,6 +142,10 @@
 				return ""
 			case "serve":
 				return b.serve(d)
+			case "relay":
+				b.relay = strings.TrimSpace(d.Input)
+				b.vm.PassOn(b)
+				return ""
 			case "refuse":
 				b.vm.Refuse()
 				return ""
@@ -197,10 +216,19 @@
 		defer cancel()
 	}
 	now := time.Now()
-	a := b.vm.Serve(ctx, &forward.Request{
-		ID: "id", Method: "GET", Target: path, Path: path, Host: "h", Arrived: now, Deadline: now.Add(time.Second),
-	})
-	return b.describe(a)
+	req := &forward.Request{
+		ID: "id", Method: "GET", Target: path, Path: path, Host: "h", Arrived: now, Deadline: now.Add(time.Second), Relayed: d.HasArg("relayed"),
+	}
+	d.MaybeScanArgs(b.t, "version", &req.Version)
+	if d.HasArg("held") {
+		req.Confirmed = make(chan struct{})
+	}
+	b.passed = 0
+	out := b.describe(b.vm.Serve(ctx, req))
+	if b.relay != "" {
+		out += fmt.Sprintf("passed on %d times\n", b.passed)
+	}
+	return out
 }
 
 func (b *bench) describe(a forward.Answer) string {
@@ -223,7 +251,7 @@
 // TestIsolated guards that a VM leaves the rotation when the only upstreams of a shard lie in a zone that
 // is cut off, and returns when a health check gets through.
 func TestIsolated(t *testing.T) {
-	b := newBench()
+	b := newBench(t)
 	defer b.vm.Close()
 	b.config("look idempotent 40 2 1 s1 s2")
 	b.servers("a s1 brest-nord answer:x\nb s2 angers-est silent")
--- a/forward/vm.go
+++ b/forward/vm.go
@@ -175,7 +175,11 @@
 		return Answer{}, false
 	}
 	elapsed := time.Since(req.Arrived)
-	vm.stats.ended(r.Name, a.Code, elapsed)
+	if a.Code == result.Cancelled {
+		vm.stats.abandoned()
+	} else {
+		vm.stats.ended(r.Name, a.Code, elapsed)
+	}
 	vm.events.Record(event.Relayed, event.F(event.Request, req.ID), event.F(event.Route, r.Name), event.F(event.Version, cfg.Version),
 		event.F(event.Peer, by), event.F(event.Code, a.Code), event.F(event.Covered, len(a.Stamps)), event.F(event.Elapsed, elapsed))
 	return a, true
