Choose aggregators anew only after changes, and forget VMs that no longer count

Cause, from reading: each heartbeat and each link of each tick sorted all VMs of the tier again, some 1,200 times a second at an aggregator of 300 VMs, and VMs that were replaced stayed in the roster for good.

Not measured by itself; the scripts of the roster and of the member are unchanged.

--- a/aggregator/options.go
+++ b/aggregator/options.go
@@ -19,6 +19,9 @@
 	// introduction is the time for which a VM that was just found is told of the tier, whoever it reached.
 	introduction = 5 * time.Second
 
+	// chooseEvery is the time for which the choice of aggregators holds while no VM comes or leaves.
+	chooseEvery = 200 * time.Millisecond
+
 	// silentAfter is the silence after which a VM is no aggregator.
 	silentAfter = 4 * time.Second
 
--- a/aggregator/roster.go
+++ b/aggregator/roster.go
@@ -1,6 +1,7 @@
 package aggregator
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -23,6 +24,10 @@
 	started time.Time
 	leaving bool
 	members map[netip.AddrPort]*member
+
+	chosen   []VM // as of chosenAt
+	chosenAt time.Time
+	changed  bool // a VM came or leaves since then
 }
 
 // member is another VM.
@@ -55,6 +60,7 @@
 		if isNew {
 			m.found = now
 		}
+		s.changed = s.changed || isNew || m.leaving != b.Leaving
 		m.VM, m.heard, m.zoneMembers, m.leaving = b.VM, now, b.ZoneMembers, b.Leaving
 		return isNew
 	})
@@ -68,6 +74,7 @@
 		}
 		m := s.member(vm.Address)
 		if m.heard.IsZero() {
+			s.changed = s.changed || m.Zone == ""
 			m.VM = vm
 		}
 		if heard.After(m.reported) {
@@ -78,7 +85,7 @@
 
 // Leave notes that this VM is about to stop.
 func (r *Roster) Leave() {
-	r.state.With(func(s *roster) { s.leaving = true })
+	r.state.With(func(s *roster) { s.leaving, s.changed = true, true })
 }
 
 // Count returns the number of VMs, this one included. One that fell silent counts for a while: behind a
@@ -201,7 +208,22 @@
 	return n
 }
 
+// aggregators returns the aggregators, which are chosen anew after a change and from time to time.
 func (s *roster) aggregators(now time.Time) []VM {
+	age := now.Sub(s.chosenAt)
+	if s.changed || age < 0 || age >= chooseEvery {
+		s.forget(now)
+		s.chosen, s.chosenAt, s.changed = s.choose(now), now, false
+	}
+	return s.chosen
+}
+
+// forget drops the VMs that no longer count.
+func (s *roster) forget(now time.Time) {
+	maps.DeleteFunc(s.members, func(_ netip.AddrPort, m *member) bool { return now.Sub(m.last()) >= remembered })
+}
+
+func (s *roster) choose(now time.Time) []VM {
 	if s.count(now) <= meshLimit {
 		return nil
 	}
