--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -16,5 +16,5 @@
 fi
 # The soak runs the program of a VM as processes of their own.
 go build -o bin/pistachio-vm ./cmd/pistachio-vm
-export PISTACHIO_VM=$PWD/bin/pistachio-vm
+export PISTACHIO_SOAK_PROGRAM=$PWD/bin/pistachio-vm
 go test -race -count=1 -timeout 10m "${skip[@]}" "$@" work
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -12,11 +12,11 @@
 )
 
 // TestSeeds guards the promises of the platform's pages under the faults of short seeds, and of seeds that
-// once broke one. It runs the program that PISTACHIO_VM names as processes of their own.
+// once broke one. It runs the program that PISTACHIO_SOAK_PROGRAM names as processes of their own.
 func TestSeeds(t *testing.T) {
-	program := os.Getenv("PISTACHIO_VM")
+	program := os.Getenv("PISTACHIO_SOAK_PROGRAM")
 	if program == "" {
-		t.Skip("PISTACHIO_VM names no program; scripts/test.sh builds one")
+		t.Skip("PISTACHIO_SOAK_PROGRAM names no program; scripts/test.sh builds one")
 	}
 	datadriven.RunTest(t, "testdata/seeds.txt", func(t *testing.T, d *datadriven.TestData) string {
 		var seed uint64
--- a/standin/soak/vm.go
+++ b/standin/soak/vm.go
@@ -124,20 +124,20 @@
 	return resp.StatusCode == http.StatusOK
 }
 
-// ports gives out ports of loopback that the kernel gives to no other connection while a VM is restarted.
+// ports gives out ports of loopback that neither the kernel gives to connections nor the tests of the commands use.
 type ports struct {
 	next uint16
 }
 
 // newPorts returns the ports of a seed, so that soaks of other seeds can run at the same time.
 func newPorts(seed uint64) *ports {
-	const first, each, seeds = 10_000, 200, 100
+	const first, each, seeds = 30_000, 27, 100
 	return &ports{first + each*uint16(seed%seeds)}
 }
 
 // take returns the next address that is free.
 func (p *ports) take() (netip.AddrPort, error) {
-	const tries = 100
+	const tries = 15
 	var err error
 	for range tries {
 		var l net.Listener
