--- a/standin/soak/vm.go
+++ b/standin/soak/vm.go
@@ -66,8 +66,14 @@
 	return filepath.Join(v.dir, v.name+".json")
 }
 
-// start starts the process; its lines go to a file in the soak's folder.
+// start starts the process unless it runs, as it does where two acts end at one VM; a second process would
+// outlive the soak. Its lines go to a file in the soak's folder.
 func (v *vm) start() error {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.running() {
+		return nil
+	}
 	out, err := os.OpenFile(filepath.Join(v.dir, v.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return errors.Wrap(err, "open the log of a VM")
@@ -84,12 +90,23 @@
 		_ = cmd.Wait() // how it ended does not matter to a soak that ends it itself
 		close(exited)
 	}()
-	v.mu.Lock()
-	defer v.mu.Unlock()
 	v.process, v.exited = cmd, exited
 	return nil
 }
 
+// running reports whether the process has not ended; the VM is locked.
+func (v *vm) running() bool {
+	if v.process == nil {
+		return false
+	}
+	select {
+	case <-v.exited:
+		return false
+	default:
+		return true
+	}
+}
+
 // signal sends a signal to the process that this soak started; one that has ended gets none.
 func (v *vm) signal(s syscall.Signal) {
 	v.mu.Lock()
