--- a/standin/soak/site.go
+++ b/standin/soak/site.go
@@ -145,10 +145,10 @@
 		all = append(all, service{Name: name, HealthPath: "/health", MaxConnections: 30})
 	}
 	b, _ := json.Marshal(config{version, list, all, map[string]int{"maxBodyBytes": 4096, "idleTimeoutMs": 15000}}) // cannot fail
-	s.store.Put("op/config", b)
 	s.history.mu.Lock()
-	defer s.history.mu.Unlock()
 	s.history.published = append(s.history.published, publication{time.Now(), names})
+	s.history.mu.Unlock()
+	s.store.Put("op/config", b)
 }
 
 // config is the operator's configuration, as far as the soak uses it.
