Stop sending to upstreams that say they leave or ask for a rest

Every answer of an upstream is now read for both, also one that is skipped or abandoned. The replica table remembers them for the start of the upstream that said so, independent of its entry in the store, and gives it no requests. VMs report leaving upstreams to one another and to those that join. A rest holds for the VM that was asked. When too few upstreams are left because some rest, callers are refused at once with the time at which enough may be asked again.

The stand-in server now keeps its start time when it writes its entry again.

--- a/codec/envelope.go
+++ b/codec/envelope.go
@@ -33,6 +33,7 @@
 		{"query-forward", e.QueryForward != nil},
 		{"query-result", e.QueryResult != nil},
 		{"sub-requests", e.SubRequests != nil},
+		{"upstream-draining", e.UpstreamDraining != nil},
 	}
 }
 
--- a/event/event.go
+++ b/event/event.go
@@ -32,6 +32,8 @@
 	VMIsolated       // a route cannot be served because other zones are unreachable, or can be served again
 	ServerChanged    // an upstream was added, changed, started to drain or was removed
 	EntryRejected    // an entry of the platform's store is invalid
+	UpstreamDraining // an upstream said in a response, to this VM or to another one, that it drains
+	UpstreamResting  // an upstream asked this VM for no requests for a while
 	CrashSuspected   // an upstream crashed while running a request
 	StoreLost        // the platform's store stopped answering
 	StoreRecovered   // the platform's state is available again
@@ -48,7 +50,7 @@
 var kindNames = [kindCount]string{
 	"none", "refused", "failed", "partial", "attempt", "hedged", "abandoned", "relayed", "relay-failed", "answered",
 	"started", "stopping", "stopped", "reloaded", "ready", "config-accepted", "config-rejected",
-	"zone-evacuated", "isolated", "server-changed", "entry-rejected", "crash-suspected", "store-lost", "store-regained", "following", "peer-lost", "peer-found",
+	"zone-evacuated", "isolated", "server-changed", "entry-rejected", "upstream-draining", "upstream-resting", "crash-suspected", "store-lost", "store-regained", "following", "peer-lost", "peer-found",
 	"paused", "dropped", "problem",
 }
 
@@ -85,7 +87,7 @@
 	Age           Key = "age"      // age of the input that the decision used
 	Elapsed       Key = "elapsed"  // time since the start of the request or attempt
 	Remaining     Key = "left"     // attempts beyond the first that the retry budget still allows
-	Delay         Key = "after"    // Retry-After, the delay of a hedge, or the time until a removed server is dropped
+	Delay         Key = "after"    // Retry-After, the delay of a hedge, the rest of an upstream, or the time until a removed server is dropped
 	MissingShards Key = "missing"  // shards missing from an answer, each with the reason
 	CoveredShards Key = "covered"  // number of shards in an answer
 	Shards        Key = "shards"   // number of shards of the route
--- a/event/story/story.go
+++ b/event/story/story.go
@@ -149,13 +149,14 @@
 type vmState struct {
 	config     *Line
 	servers    map[string]Line // by ID
+	notices    map[string]Line // latest drain or rest that an upstream told, by ID
 	zones      map[string]Line // by zone
 	conditions map[string]Line // by event: store outage, isolation, pause, shutdown
 	reported   map[string]bool
 }
 
 func newVMState() *vmState {
-	return &vmState{servers: map[string]Line{}, zones: map[string]Line{}, conditions: map[string]Line{}, reported: map[string]bool{}}
+	return &vmState{servers: map[string]Line{}, notices: map[string]Line{}, zones: map[string]Line{}, conditions: map[string]Line{}, reported: map[string]bool{}}
 }
 
 // update records a line that does not belong to the request.
@@ -167,6 +168,8 @@
 		st.config = &l
 	case event.ServerChanged.String(), event.EntryRejected.String():
 		st.servers[l.Fields[string(event.Server)]] = l
+	case event.UpstreamDraining.String(), event.UpstreamResting.String():
+		st.notices[l.Fields[string(event.Server)]] = l
 	case event.ZoneEvacuated.String():
 		st.zones[l.Fields[string(event.Zone)]] = l
 	case event.VMIsolated.String():
@@ -199,6 +202,9 @@
 			add(zone)
 		}
 	}
+	if notice, ok := st.notices[l.Fields[string(event.Server)]]; ok {
+		add(notice)
+	}
 	for _, key := range slices.Sorted(maps.Keys(st.conditions)) {
 		add(st.conditions[key])
 	}
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -100,7 +100,7 @@
 	case a.Code == result.Complete:
 	case a.Code.Effect() == result.NotRun:
 		kind = event.RequestRefused
-		a.RetryAfter = retryAfter(a.Code)
+		a.RetryAfter = q.refusalDelay(a.Code)
 	default:
 		kind = event.RequestFailed
 	}
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -128,7 +128,8 @@
 }
 
 // TestScripts guards against wrong answers when upstreams fail, shed, lose the connection or do not respond, and
-// against attempts beyond the limits of the route and the retry budget.
+// against attempts beyond the limits of the route and the retry budget. Requests that resting upstreams keep from being
+// served must be refused at once, with the time at which they can be.
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		h := newHarness(t)
@@ -147,6 +148,14 @@
 				h.relay = strings.TrimSpace(d.Input)
 				h.vm.SetRelay(h)
 				return ""
+			case "rest": // a server and the seconds for which it wants no requests
+				for _, line := range strings.Split(strings.TrimSpace(d.Input), "\n") {
+					var id string
+					var seconds int
+					fmt.Sscan(line, &id, &seconds)
+					h.vm.RecordNotice(route.Server{ID: id}, replica.Notice{Rest: time.Duration(seconds) * time.Second})
+				}
+				return ""
 			case "refuse":
 				h.vm.RefuseNew()
 				return ""
@@ -236,6 +245,9 @@
 func (h *harness) describe(a forward.Answer) string {
 	var out strings.Builder
 	fmt.Fprintf(&out, "%v retry-after %t", a.Code, a.RetryAfter > 0)
+	if a.RetryAfter >= time.Second {
+		fmt.Fprintf(&out, " in %v", a.RetryAfter.Round(time.Second))
+	}
 	if a.Sharded {
 		slices.Sort(a.Stamps)
 		fmt.Fprintf(&out, " missing %d stamps %v records %q", a.Missing, a.Stamps, a.Records)
--- a/forward/query.go
+++ b/forward/query.go
@@ -54,25 +54,24 @@
 	return &query{vm: vm, fingerprint: fingerprint, req: req, cfg: cfg, route: r, done: make(chan struct{}), inFlight: map[attemptKey]*sentAttempt{}}
 }
 
-// plan selects the shards and their replicas. It returns a code and a reason if the request cannot be served.
-func (q *query) plan() (result.Code, string) {
+// plan selects the shards and their replicas. It returns a refusal if the request cannot be served.
+func (q *query) plan() refusal {
 	now := time.Now()
 	q.deadline = deadline(q.req, q.route)
 	if !q.deadline.After(now) {
-		return result.DeadlineExpired, "deadline has passed"
+		return refusal{code: result.DeadlineExpired, reason: "deadline has passed"}
 	}
 	p := gather.Plan{
 		Snapshot:         q.cfg.Version,
 		Revision:         q.cfg.Version,
 		Deadline:         q.deadline,
-		MinimumCoverage:  1,
+		MinimumCoverage:  q.minCoverage(),
 		CoverageRequired: true,
 		MaxAttempts:      max(q.route.MaxAttempts-q.req.PriorAttempts, 1),
 		NotIdempotent:    !q.route.Idempotent,
 		RetriesHeld:      q.req.Confirmed != nil,
 	}
 	if q.route.Sharded() {
-		p.MinimumCoverage = q.route.MinCoverage
 		if q.route.TargetLatency > 0 {
 			p.AnswerBy = q.req.ReceivedAt.Add(q.route.TargetLatency - q.req.Transit - processingReserve)
 		}
@@ -87,10 +86,21 @@
 		q.shards = append(q.shards, sp.Shard)
 	}
 	if reachable == 0 || float64(reachable) < p.MinimumCoverage*float64(len(p.Shards)) {
-		return result.Unreachable, q.vm.unreachableReason(now, reachable, len(p.Shards))
+		if delay := q.restDelay(now); delay > 0 {
+			return refusal{code: result.UpstreamShed, reason: "upstreams have asked for no requests", retryAfter: delay}
+		}
+		return refusal{code: result.Unreachable, reason: q.vm.unreachableReason(now, reachable, len(p.Shards))}
 	}
 	q.state = gather.New[*Response](p, q, q.retryBudgets(), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
-	return 0, ""
+	return refusal{}
+}
+
+// minCoverage returns the fraction of the shards that an answer must cover.
+func (q *query) minCoverage() float64 {
+	if q.route.Sharded() {
+		return q.route.MinCoverage
+	}
+	return 1
 }
 
 // unreachableReason describes why too few services can be reached.
--- a/forward/vm.go
+++ b/forward/vm.go
@@ -32,7 +32,8 @@
 	events       event.Recorder
 	stats        *Stats
 	crashTracker *quarantine.CrashTracker
-	onCrash      func(fingerprint uint64, server string) // reports a crash to other VMs
+	onCrash      func(fingerprint uint64, server string)  // reports a crash to other VMs
+	onDraining   func(server string, startedAt time.Time) // reports a draining upstream to other VMs
 
 	workers *pool.Pool[func()]
 	timers  *pool.Timers[func()]
@@ -62,6 +63,7 @@
 		stats:        newStats(),
 		crashTracker: quarantine.NewCrashTracker(quarantine.DefaultCrashTrackerSettings()),
 		onCrash:      func(uint64, string) {},
+		onDraining:   func(string, time.Time) {},
 		state:        table.NewGuarded(table.RankPending, vmState{shares: aggregator.LimitShares{Members: 1}}),
 	}
 	vm.workers = pool.New(s.Workers, func(task func()) { task() })
@@ -141,29 +143,29 @@
 func (vm *VM) Serve(ctx context.Context, req *Request) Answer {
 	cfg := vm.routes.Current()
 	if cfg == nil {
-		return vm.refuse(req, nil, 0, result.NotReady, "no configuration yet")
+		return vm.refuse(req, nil, 0, refusal{code: result.NotReady, reason: "no configuration yet"})
 	}
 	if cfg.Version < req.MinConfigVersion {
-		return vm.refuse(req, nil, cfg.Version, result.NotReady, "the relaying VM has a newer configuration")
+		return vm.refuse(req, nil, cfg.Version, refusal{code: result.NotReady, reason: "the relaying VM has a newer configuration"})
 	}
 	r, ok := cfg.Match(req.Host, req.Path)
 	if !ok {
-		return vm.refuse(req, nil, cfg.Version, result.UnknownRoute, "no route for host and path")
+		return vm.refuse(req, nil, cfg.Version, refusal{code: result.UnknownRoute, reason: "no route for host and path"})
 	}
 	fingerprint := quarantine.Fingerprint(req.Method, nil, []string{req.Host, req.Target, string(req.Body)}, 0)
 	if vm.crashTracker.Blocked(time.Now(), fingerprint) {
-		return vm.refuse(req, r, cfg.Version, result.Quarantined, "upstreams crashed while running this request")
+		return vm.refuse(req, r, cfg.Version, refusal{code: result.Quarantined, reason: "upstreams crashed while running this request"})
 	}
-	if code, reason := vm.admit(); code != 0 {
-		return vm.refuse(req, r, cfg.Version, code, reason)
+	if denied := vm.admit(); denied.code != 0 {
+		return vm.refuse(req, r, cfg.Version, denied)
 	}
 	defer vm.state.With(func(st *vmState) { st.inFlight-- })
 	if a, ok := vm.relayQuery(ctx, req, cfg, r); ok {
 		return a
 	}
 	q := newQuery(vm, req, cfg, r, fingerprint)
-	if code, reason := q.plan(); code != 0 {
-		return vm.refuse(req, r, cfg.Version, code, reason)
+	if denied := q.plan(); denied.code != 0 {
+		return vm.refuse(req, r, cfg.Version, denied)
 	}
 	return q.run(ctx)
 }
@@ -189,30 +191,37 @@
 }
 
 // admit counts a request as in flight, unless the VM is stopping or overloaded.
-func (vm *VM) admit() (code result.Code, reason string) {
+func (vm *VM) admit() (denied refusal) {
 	vm.state.With(func(st *vmState) {
 		switch {
 		case st.refusing:
-			code, reason = result.Stopping, "the VM is stopping"
+			denied = refusal{code: result.Stopping, reason: "the VM is stopping"}
 		case st.inFlight >= vm.settings.MaxInFlight:
-			code, reason = result.Overloaded, "too many requests in flight"
+			denied = refusal{code: result.Overloaded, reason: "too many requests in flight"}
 		default:
 			st.inFlight++
 		}
 	})
-	return code, reason
+	return denied
+}
+
+// refusal is the reason why a request is not run. A zero code means that it may run.
+type refusal struct {
+	code       result.Code
+	reason     string
+	retryAfter time.Duration // 0 for the default of the code
 }
 
 // refuse records and returns the answer to a request that is not run.
-func (vm *VM) refuse(req *Request, r *route.Route, version uint64, code result.Code, reason string) Answer {
+func (vm *VM) refuse(req *Request, r *route.Route, version uint64, denied refusal) Answer {
 	name := ""
 	if r != nil {
 		name = r.Name
 	}
-	a := Answer{Code: code, RetryAfter: retryAfter(code)}
-	vm.stats.recordRequest(name, code, time.Since(req.ReceivedAt))
+	a := Answer{Code: denied.code, RetryAfter: max(retryAfter(denied.code), denied.retryAfter)}
+	vm.stats.recordRequest(name, a.Code, time.Since(req.ReceivedAt))
 	vm.events.Record(event.RequestRefused, event.F(event.RequestID, req.ID), event.F(event.Route, name),
-		event.F(event.Code, code), event.F(event.Reason, reason), event.F(event.Version, version),
+		event.F(event.Code, a.Code), event.F(event.Reason, denied.reason), event.F(event.Version, version),
 		event.F(event.InFlight, vm.InFlight()), event.F(event.Delay, a.RetryAfter), event.F(event.Elapsed, time.Since(req.ReceivedAt)))
 	return a
 }
--- a/member/member.go
+++ b/member/member.go
@@ -15,6 +15,7 @@
 	"pistachioshore.dev/fleet"
 	"pistachioshore.dev/pool"
 	"pistachioshore.dev/quarantine"
+	"pistachioshore.dev/route"
 	"pistachioshore.dev/table"
 	"pistachioshore.dev/transport"
 	"pistachioshore.dev/transport/socket"
@@ -54,6 +55,11 @@
 	// RecordCrash records a crash, reported by another VM, of the upstream with the ID server while it ran the request
 	// with the given fingerprint, a hash of the request's content. It reports whether the crash was not known yet.
 	RecordCrash(fingerprint uint64, server string) bool
+	// RecordDraining records that the upstream with the ID server, which started at the given time, has told another VM
+	// that it drains. It reports whether this was not known yet.
+	RecordDraining(server string, startedAt time.Time) bool
+	// SaidDraining returns the upstreams that have said that they drain, for VMs that have just joined the tier.
+	SaidDraining() []route.Server
 }
 
 // Member represents this VM in the tier. It is safe for concurrent use.
@@ -176,6 +182,8 @@
 		m.sendState(from, e.ConfigRequest.Cursors)
 	case e.CanaryReport != nil:
 		m.handleCrashReport(now, from, e.CanaryReport)
+	case e.UpstreamDraining != nil:
+		m.handleDraining(now, from, e.UpstreamDraining)
 	case e.ConfigValue != nil:
 		if err := m.state.Import(e.ConfigValue.Value); err != nil {
 			m.events.Record(event.Problem, event.F(event.Reason, "cannot import the platform state of another VM"), event.F(event.Peer, from), event.F(event.Error, err))
@@ -194,6 +202,9 @@
 	m.connect(now, from)
 	if isNew {
 		m.events.Record(event.PeerFound, event.F(event.Peer, from), event.F(event.Zone, h.Zone))
+		for _, s := range m.listener.SaidDraining() {
+			m.peers.Send(from, newDrainingReport(s.ID, s.StartedAt))
+		}
 	}
 	if isNew || h.Leaving {
 		m.publishTier(now)
@@ -226,13 +237,32 @@
 
 func (m *Member) sendCrashReport(now time.Time, fingerprint uint64, server string, from netip.AddrPort) {
 	r := &wire.CanaryReport{Fingerprint: fingerprint, Upstream: server, Outcome: quarantine.Crashed.String(), Until: now}
-	for _, vm := range m.connectedVMs() {
-		if vm != from {
-			m.peers.Send(vm, &wire.Envelope{Kind: codec.KindCanaryReport, CanaryReport: r})
-		}
+	m.sendReport(from, &wire.Envelope{Kind: codec.KindCanaryReport, CanaryReport: r})
+}
+
+// handleDraining records a draining upstream that another VM has reported, and forwards a new report in a large tier as
+// handleCrashReport does.
+func (m *Member) handleDraining(now time.Time, from netip.AddrPort, r *wire.UpstreamDraining) {
+	if m.listener.RecordDraining(r.Upstream, r.StartedAt) && len(m.members.Aggregators(now)) > 0 {
+		m.sendReport(from, &wire.Envelope{Kind: codec.KindDraining, UpstreamDraining: r})
 	}
 }
 
+// BroadcastDraining reports to the connected VMs that the upstream with the ID server has told this VM that it drains.
+func (m *Member) BroadcastDraining(server string, startedAt time.Time) {
+	m.sendReport(m.self.Address, newDrainingReport(server, startedAt))
+}
+
+func newDrainingReport(server string, startedAt time.Time) *wire.Envelope {
+	return &wire.Envelope{Kind: codec.KindDraining, UpstreamDraining: &wire.UpstreamDraining{Upstream: server, StartedAt: startedAt}}
+}
+
+// sendReport sends a report that came from one VM to the other connected VMs.
+func (m *Member) sendReport(from netip.AddrPort, e *wire.Envelope) {
+	others := slices.DeleteFunc(m.connectedVMs(), func(vm netip.AddrPort) bool { return vm == from })
+	m.peers.SendAll(others, e)
+}
+
 // Undelivered discards messages that were never sent. The next heartbeat replaces them, and for forwarded queries
 // the handler is notified through ConnectionLost.
 func (m *Member) Undelivered(netip.AddrPort, []*wire.Envelope) {}
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -14,6 +14,7 @@
 	"pistachioshore.dev/codec"
 	"pistachioshore.dev/event"
 	"pistachioshore.dev/fleet"
+	"pistachioshore.dev/route"
 	"pistachioshore.dev/wire"
 )
 
@@ -24,6 +25,8 @@
 	sent         []string
 	members      []int
 	crashes      []string
+	draining     []string
+	leaving      []route.Server
 	queries      []string
 	disconnected []string
 	shown        []string
@@ -64,6 +67,19 @@
 	return true
 }
 
+// RecordDraining records the upstream and reports whether it is new.
+func (s *scriptedVM) RecordDraining(server string, startedAt time.Time) bool {
+	text := fmt.Sprintf("%s since %d", server, startedAt.UnixMilli())
+	if slices.Contains(s.draining, text) {
+		return false
+	}
+	s.draining = append(s.draining, text)
+	return true
+}
+
+// SaidDraining returns the upstreams of the script.
+func (s *scriptedVM) SaidDraining() []route.Server { return s.leaving }
+
 // Send records the message.
 func (s *scriptedVM) Send(vm netip.AddrPort, e *wire.Envelope) bool {
 	s.sent = append(s.sent, e.Kind+" to "+vm.String())
@@ -103,7 +119,8 @@
 var start = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
 
 // TestScripts guards against a wrong number of VMs that share the limits of upstreams, in particular while some send
-// no heartbeats, and against a VM that does not request newer state from others while it cannot read the platform.
+// no heartbeats, against a VM that does not request newer state from others while it cannot read the platform, and
+// against reports of draining upstreams that do not reach the other VMs or circulate without end.
 func TestScripts(t *testing.T) {
 	datadriven.RunTest(t, "testdata/member.txt", func(t *testing.T, d *datadriven.TestData) string {
 		s := &scriptedVM{}
@@ -119,6 +136,9 @@
 			fmt.Fprintln(&out, line)
 		}
 		fmt.Fprintf(&out, "forgotten %d queries %v\n", len(s.disconnected), s.queries)
+		if len(s.draining) > 0 {
+			fmt.Fprintf(&out, "draining %v\n", s.draining)
+		}
 		return out.String() + fmt.Sprintf("members %v\nconnected %v\nsent %v\nimported %v crashes %v\n",
 			s.members, s.connected, slices.Compact(s.sent), s.imported, s.crashes)
 	})
@@ -178,6 +198,12 @@
 		s.member.handle(now, from, &wire.Envelope{Kind: codec.KindConfigValue, ConfigValue: &wire.ConfigValue{Value: []byte("theirs")}})
 	case "crash":
 		s.member.handle(now, from, &wire.Envelope{Kind: codec.KindCanaryReport, CanaryReport: &wire.CanaryReport{Fingerprint: 7, Upstream: "i-1"}})
+	case "drain": // reported by another VM
+		s.member.handle(now, from, &wire.Envelope{Kind: codec.KindDraining, UpstreamDraining: &wire.UpstreamDraining{Upstream: "i-3", StartedAt: time.UnixMilli(5)}})
+	case "knows": // that an upstream drains
+		s.leaving = append(s.leaving, route.Server{ID: "i-5", StartedAt: time.UnixMilli(7)})
+	case "leaving": // seen by this VM
+		s.member.BroadcastDraining("i-4", time.UnixMilli(6))
 	case "tell":
 		s.member.BroadcastCrash(now, 9, "i-2")
 	default:
--- a/replica/options.go
+++ b/replica/options.go
@@ -37,6 +37,14 @@
 	// crashWindow is the longest time between a lost connection and a refused one that count as a crash.
 	crashWindow = 2 * time.Second
 
+	// maxRest is the longest time for which an upstream may ask for no requests. It bounds the harm of a faulty value.
+	maxRest = 5 * time.Minute
+
+	// noticeRetention is the time for which the notices of an upstream are remembered. It is longer than maxRest and than
+	// the time that a draining upstream takes to leave. maxNotices bounds the upstreams that are remembered.
+	noticeRetention = 10 * time.Minute
+	maxNotices      = 4096
+
 	// coldWindow is the period over which the requests to a cold upstream are limited.
 	coldWindow = time.Second
 )
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -62,6 +62,7 @@
 		services:    map[string][]*replica{},
 		zones:       map[string]*zoneHealth{},
 		memberCount: 1,
+		notices:     newNotices(),
 	})}
 }
 
@@ -133,7 +134,7 @@
 
 // Counts are the numbers of all known replicas and of those in each condition. A replica may be in several conditions.
 type Counts struct {
-	Known, Draining, Evacuated, Cold, Ejected int
+	Known, Draining, Resting, Evacuated, Cold, Ejected int
 }
 
 // Counts returns the numbers of replicas by condition.
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -25,7 +25,7 @@
 }
 
 // TestScripts guards against requests to an upstream that must not or cannot serve them: one that is draining, removed,
-// replaced by another instance, stalled, or in an evacuated zone.
+// replaced by another instance, stalled, in an evacuated zone, or that has said that it drains or wants no requests.
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		h := &harness{handles: map[string]replica.AttemptHandle{}, rand: rand.New(rand.NewPCG(1, 1))}
@@ -83,6 +83,16 @@
 		return h.startMany(now, args)
 	case "end":
 		return h.end(now, args)
+	case "notice":
+		return fmt.Sprintln("new", h.table.RecordNotice(now, server([]string{args[0], "", "", args[1]}), notice(args[2])))
+	case "drained":
+		return fmt.Sprintln("new", h.table.RecordDraining(now, args[0], server([]string{args[0], "", "", args[1]}).StartedAt))
+	case "rests":
+		var delays []time.Duration
+		for _, at := range h.table.RestEnds(now, args[0], nil) {
+			delays = append(delays, at.Sub(now))
+		}
+		return fmt.Sprintln("rests end after", delays)
 	case "cut":
 		return fmt.Sprintln("cut", h.table.UnreachableZones(now))
 	case "stalled":
@@ -112,6 +122,14 @@
 	return s
 }
 
+// notice parses what an upstream says about itself: that it drains, or the rest that it asks for in ms.
+func notice(text string) replica.Notice {
+	name, value, _ := strings.Cut(text, "=")
+	var ms int64
+	fmt.Sscan(value, &ms)
+	return replica.Notice{Draining: name == "draining", Rest: time.Duration(ms) * time.Millisecond}
+}
+
 // start starts the attempt named args[0] at the replica args[1].
 func (h *harness) start(now time.Time, args []string) string {
 	handle, ok := h.table.StartAttempt(now, args[1], route.Service{})
--- a/replica/stat.go
+++ b/replica/stat.go
@@ -14,6 +14,7 @@
 	coldUntil     time.Time
 	removeAt      time.Time // zero unless its entry was deleted
 	wrongInstance bool      // another upstream answered at its address
+	notice        serverNotice
 	pending       []pendingAttempt
 	coldRequests  []time.Time
 
--- a/replica/state.go
+++ b/replica/state.go
@@ -16,6 +16,7 @@
 	evacuated   map[string]bool
 	memberCount int
 	lastAttempt uint64
+	notices     notices
 }
 
 func (st *state) put(now time.Time, s route.Server) {
@@ -28,6 +29,9 @@
 		st.drop(old)
 	}
 	r := newReplica(now, s)
+	if !ok || !old.server.StartedAt.Equal(s.StartedAt) {
+		r.notice = st.notices.of(now, s.ID, s.StartedAt)
+	}
 	st.replicas[s.ID] = r
 	st.services[s.Service] = append(st.services[s.Service], r)
 }
@@ -67,7 +71,7 @@
 
 // eligible reports whether the replica may receive requests at all.
 func (st *state) eligible(now time.Time, r *replica, regions []string) bool {
-	if r.server.Draining || r.wrongInstance || r.removalDue(now) || st.evacuated[r.server.Zone] {
+	if r.draining() || r.resting(now) || r.wrongInstance || r.removalDue(now) || st.evacuated[r.server.Zone] {
 		return false
 	}
 	return len(regions) == 0 || slices.Contains(regions, st.settings.Regions[r.server.Zone])
@@ -174,9 +178,12 @@
 func (st *state) counts(now time.Time) Counts {
 	c := Counts{Known: len(st.replicas)}
 	for _, r := range st.replicas {
-		if r.server.Draining {
+		if r.draining() {
 			c.Draining++
 		}
+		if r.resting(now) {
+			c.Resting++
+		}
 		if st.evacuated[r.server.Zone] {
 			c.Evacuated++
 		}
--- a/standin/shard/shard.go
+++ b/standin/shard/shard.go
@@ -31,8 +31,13 @@
 	Hanging          Behaviour = "mute"   // executes the request and never responds
 	WrongInstance    Behaviour = "other"  // answers 421, as another server that took over the address
 	Unsigned         Behaviour = "unsign" // responds without a signature
+	Leaving          Behaviour = "leave"  // executes the request and says that it is about to leave
+	Resting          Behaviour = "rest"   // answers 503 without executing the request and asks for no more for a while
 )
 
+// RestTime is the time for which a server with the behaviour Resting asks for no requests.
+const RestTime = 1500 * time.Millisecond
+
 // Execution is one request that a server began to execute.
 type Execution struct {
 	RequestID string // empty if the request has none, as a health check
@@ -49,6 +54,7 @@
 	service     string
 	zone        string
 	serviceTime time.Duration
+	startedAt   time.Time
 	listener    net.Listener
 	http        *http.Server
 	state       *table.Guarded[state]
@@ -66,7 +72,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{id: id, service: service, zone: zone, serviceTime: serviceTime, listener: l, state: table.NewGuarded(standin.RankUpstream, state{})}
+	s := &Server{id: id, service: service, zone: zone, serviceTime: serviceTime, startedAt: time.Now(), listener: l, state: table.NewGuarded(standin.RankUpstream, state{})}
 	s.http = &http.Server{Handler: s}
 	go func() { _ = s.http.Serve(l) }() // returns ErrServerClosed on Close
 	return s, nil
@@ -107,7 +113,7 @@
 func (s *Server) EntryWithAddress(address netip.AddrPort, status string) []byte {
 	b, _ := json.Marshal(storeEntry{ // cannot fail: the entry has only strings and numbers
 		Service: s.service, Address: address, Zone: s.zone, Version: "v1", Capacity: 3,
-		State: status, Sequence: 1, Born: time.Now().UnixMilli(),
+		State: status, Sequence: 1, Born: s.startedAt.UnixMilli(),
 	})
 	return b
 }
@@ -162,6 +168,11 @@
 		w.Header().Set("X-Pistachioshore-Instance-Id", "i-other")
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
+	case b == Resting:
+		w.Header().Set("Retry-After", strconv.FormatFloat(RestTime.Seconds(), 'f', -1, 64))
+		w.Header().Set("X-Pistachioshore-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
 	case b == Shedding:
 		w.Header().Set("X-Pistachioshore-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -188,6 +199,9 @@
 		<-r.Context().Done()
 		return
 	case Unsigned:
+	case Leaving:
+		w.Header().Set("Server-Leaving", "1")
+		fallthrough
 	default:
 		w.Header().Set("X-Pistachioshore-Response-Stamp", Stamp(s.id, requestID, record))
 	}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -251,6 +251,9 @@
 
 	// SubRequests corresponds to the JSON schema field "sub-requests".
 	SubRequests *SubRequests `json:"sub-requests,omitempty,omitzero"`
+
+	// UpstreamDraining corresponds to the JSON schema field "upstream-draining".
+	UpstreamDraining *UpstreamDraining `json:"upstream-draining,omitempty,omitzero"`
 }
 
 // ExecuteRequest runs a non-idempotent operation.
@@ -1182,6 +1185,17 @@
 	Items []UpstreamCounts `json:"items"`
 }
 
+// UpstreamDraining reports that an upstream has said in a response that it is
+// about to leave.
+type UpstreamDraining struct {
+	// StartedAt is the start of the upstream that the report is about; a later start
+	// is not draining.
+	StartedAt time.Time `json:"started-at"`
+
+	// Upstream corresponds to the JSON schema field "upstream".
+	Upstream string `json:"upstream"`
+}
+
 // UpstreamFaults sets the faults of one stand-in upstream; absent fields mean no
 // fault.
 type UpstreamFaults struct {
