Select aggregators in the zones that host replicas, in a small tier too

A forwarded query crosses once.

Aggregators are now selected in the zones that list a replica of four fifths of the shards. In a small tier all VMs of these zones are aggregators if there is a zone without replicas. A VM without aggregators in its zone links to four of them by a hash of both addresses, and its primary one is among those. Equally loaded aggregators take turns: a VM seldom has two queries pending, so that the first of the list got all queries of a zone before.

--- a/aggregator/aggregator.go
+++ b/aggregator/aggregator.go
@@ -1,8 +1,9 @@
 // Package aggregator selects the VMs of a large tier that fan out queries to the shards on behalf of the others.
 //
 // A shard server handles only a few dozen connections, so only a few VMs can keep connections open to every
-// server. In a small tier every VM fans out its own queries. In a large tier each availability zone has a
-// limited number of aggregators, and the other VMs forward their queries to them.
+// server. In a large tier a limited number of aggregators fan out queries, and the other VMs forward their queries to
+// them. Aggregators are in the availability zones that host replicas of the shards, because a query that crosses zones
+// once moves a fraction of the bytes of its sub-requests. In a small tier every VM in those zones fans out queries.
 package aggregator
 
 import (
@@ -11,6 +12,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"pistachioshore.dev/table"
 )
 
@@ -24,7 +27,7 @@
 // LimitShares describes how the limits of an upstream are divided among the VMs of the tier.
 type LimitShares struct {
 	Members      int  // VMs in the tier, at least 1
-	Aggregators  int  // aggregators in the tier; 0 in a small tier, where every VM fans out its own queries
+	Aggregators  int  // aggregators in the tier; 0 if every VM fans out its own queries
 	IsAggregator bool // this VM is an aggregator
 }
 
@@ -69,6 +72,11 @@
 	})
 }
 
+// containsVM reports whether the VM with the given address is in the list.
+func containsVM(list []VM, address netip.AddrPort) bool {
+	return slices.ContainsFunc(list, func(vm VM) bool { return vm.Address == address })
+}
+
 // Table holds the aggregators to which a VM can forward queries. It is safe for concurrent use.
 type Table struct {
 	state *table.Guarded[tableState]
@@ -78,6 +86,7 @@
 	self        VM
 	aggregators []VM
 	peers       map[netip.AddrPort]*peer
+	picks       uint64 // calls of pick, so that equally loaded aggregators take turns
 }
 
 // peer is the state that this VM keeps for one aggregator.
@@ -97,7 +106,7 @@
 	t.state.With(func(s *tableState) {
 		s.aggregators = slices.Clone(aggregators)
 		for vm := range s.peers {
-			if !slices.ContainsFunc(aggregators, func(a VM) bool { return a.Address == vm }) {
+			if !containsVM(aggregators, vm) {
 				delete(s.peers, vm)
 			}
 		}
@@ -148,13 +157,17 @@
 	return p
 }
 
-// pick prefers aggregators in this VM's zone, and among those the one with the fewest pending queries.
+// pick prefers aggregators in this VM's zone, and among those the one with the fewest pending queries. Equally loaded
+// ones take turns, starting at one that depends on this VM, because a VM seldom has more than one query pending.
 func (s *tableState) pick(now time.Time, tried []netip.AddrPort) (netip.AddrPort, bool) {
+	if len(s.aggregators) == 0 || containsVM(s.aggregators, s.self.Address) {
+		return netip.AddrPort{}, false
+	}
 	var best VM
-	for _, vm := range s.aggregators {
-		if vm.Address == s.self.Address {
-			return netip.AddrPort{}, false
-		}
+	s.picks++
+	first := int((xxhash.Sum64String(s.self.Address.String()) + s.picks) % uint64(len(s.aggregators)))
+	for i := range s.aggregators {
+		vm := s.aggregators[(first+i)%len(s.aggregators)]
 		if slices.Contains(tried, vm.Address) || now.Before(s.peer(vm.Address).backoffUntil) {
 			continue
 		}
--- a/aggregator/aggregator_test.go
+++ b/aggregator/aggregator_test.go
@@ -22,7 +22,8 @@
 }
 
 // TestScripts guards against aggregators in a small tier, VMs of a large tier that select different aggregators
-// or connect to too many VMs, and queries sent to aggregators that do not accept them.
+// or connect to too many VMs, aggregators in zones that host no replicas, queries sent to aggregators that do not accept
+// them, and queries that all go to the same of several aggregators.
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		var s *scriptedVM
@@ -72,6 +73,8 @@
 		}
 	case "report":
 		s.members.RecordIndirectHeartbeat(parseVM(f[2:5]), now)
+	case "hosting": // zones
+		s.members.SetHostingZones(f[2:])
 	case "leave":
 		s.members.Leave()
 	case "show":
@@ -79,9 +82,16 @@
 	case "linked":
 		return s.shouldConnect(now, f[2:])
 	case "choose":
-		s.table.SetAggregators(s.members.Aggregators(now))
+		s.table.SetAggregators(s.members.AggregatorLinks(now))
 	case "pick":
 		return s.pick(now)
+	case "turn": // a query that is answered before the next one
+		v, _ := s.table.Pick(now, nil)
+		s.table.Done(v)
+		return fmt.Sprintln("picks", v)
+	case "primary":
+		v, _ := s.members.PrimaryAggregator(now, aggregator.VM{Address: address("1"), Zone: "a"})
+		return fmt.Sprintln("primary", v)
 	case "done":
 		s.table.Done(address(f[2]))
 	case "silent":
--- a/aggregator/memberlist.go
+++ b/aggregator/memberlist.go
@@ -1,6 +1,7 @@
 package aggregator
 
 import (
+	"cmp"
 	"maps"
 	"net/netip"
 	"slices"
@@ -13,7 +14,7 @@
 
 // MemberList is the view that one VM has of its tier. It is safe for concurrent use.
 //
-// In a small tier each VM is connected to all others. In a large tier a VM is connected to aggregators only, and
+// In a small tier each VM is connected to all others. In a large tier a VM is connected to some aggregators only, and
 // an aggregator to the other aggregators and to all VMs that send it heartbeats.
 type MemberList struct {
 	state *table.Guarded[memberList]
@@ -24,6 +25,7 @@
 	started time.Time
 	leaving bool
 	members map[netip.AddrPort]*member
+	hosting []string // zones that host replicas of the shards, sorted; empty if not known
 
 	selected   []VM // aggregators as selected at selectedAt
 	selectedAt time.Time
@@ -83,6 +85,16 @@
 	})
 }
 
+// SetHostingZones sets the zones that host replicas of the shards, from which the aggregators are selected. Without any,
+// or without a live VM in them, aggregators are selected from all zones.
+func (l *MemberList) SetHostingZones(zones []string) {
+	sorted := slices.Sorted(slices.Values(zones))
+	l.state.With(func(s *memberList) {
+		s.changed = s.changed || !slices.Equal(sorted, s.hosting)
+		s.hosting = sorted
+	})
+}
+
 // Leave records that this VM is about to stop, which makes it ineligible as an aggregator.
 func (l *MemberList) Leave() {
 	l.state.With(func(s *memberList) { s.leaving, s.changed = true, true })
@@ -99,14 +111,25 @@
 	return table.WithResult(l.state, func(s *memberList) int { return s.seenByZone(now)[s.self.Zone] })
 }
 
-// Aggregators returns the aggregators of a large tier. A small tier has none.
+// Aggregators returns the VMs that fan out queries, or nil if every VM fans out its own.
 func (l *MemberList) Aggregators(now time.Time) []VM {
 	return table.WithResult(l.state, func(s *memberList) []VM { return s.aggregators(now) })
 }
 
-// PrimaryAggregator returns the aggregator in its own zone from which vm receives the platform state first, that is,
-// the configuration and the list of servers that the platform publishes. VMs are assigned to the aggregators of their
-// zone by a hash of their address. It returns false if the zone has no aggregator.
+// AggregatorLinks returns the aggregators to which this VM stays connected, and to which it can forward queries.
+func (l *MemberList) AggregatorLinks(now time.Time) []VM {
+	return table.WithResult(l.state, func(s *memberList) []VM {
+		aggregators := s.aggregators(now)
+		if s.count(now) <= maxFullMeshSize || containsVM(aggregators, s.self.Address) {
+			return aggregators
+		}
+		return s.aggregatorLinks(aggregators)
+	})
+}
+
+// PrimaryAggregator returns the aggregator from which vm receives the platform state first, that is, the configuration
+// and the list of servers that the platform publishes. VMs are assigned to the aggregators of their zone, or to those of
+// all zones if it has none, by a hash of their address. It returns false if there are no aggregators.
 func (l *MemberList) PrimaryAggregator(now time.Time, vm VM) (netip.AddrPort, bool) {
 	return table.WithResults(l.state, func(s *memberList) (netip.AddrPort, bool) { return primaryAggregator(s.aggregators(now), vm) })
 }
@@ -126,16 +149,25 @@
 }
 
 func primaryAggregator(aggregators []VM, vm VM) (netip.AddrPort, bool) {
-	var local []VM
-	for _, a := range aggregators {
-		if a.Zone == vm.Zone {
-			local = append(local, a)
-		}
+	candidates := inZone(aggregators, vm.Zone)
+	if len(candidates) == 0 {
+		candidates = aggregators
 	}
-	if len(local) == 0 {
+	if len(candidates) == 0 {
 		return netip.AddrPort{}, false
 	}
-	return local[xxhash.Sum64String(vm.Address.String())%uint64(len(local))].Address, true
+	return slices.MaxFunc(candidates, func(a, b VM) int { return cmp.Compare(affinity(vm, a), affinity(vm, b)) }).Address, true
+}
+
+// inZone returns the VMs of a zone.
+func inZone(list []VM, zone string) []VM {
+	return slices.DeleteFunc(slices.Clone(list), func(vm VM) bool { return vm.Zone != zone })
+}
+
+// affinity is a hash by which a VM ranks aggregators, so that the VMs spread over them evenly and few move when the
+// aggregators change.
+func affinity(vm, aggregator VM) uint64 {
+	return xxhash.Sum64String(vm.Address.String() + " " + aggregator.Address.String())
 }
 
 // ShouldConnect reports whether this VM should be connected to another one.
@@ -227,10 +259,45 @@
 	maps.DeleteFunc(s.members, func(_ netip.AddrPort, m *member) bool { return now.Sub(m.lastSeen()) >= memberRetention })
 }
 
+// selectAggregators selects the aggregators from the live VMs. In a small tier these are all VMs in the hosting zones,
+// if some zone is none.
 func (s *memberList) selectAggregators(now time.Time) []VM {
-	if s.count(now) <= maxFullMeshSize {
+	live := s.liveVMs(now)
+	candidates := slices.DeleteFunc(slices.Clone(live), func(vm VM) bool { return !slices.Contains(s.hosting, vm.Zone) })
+	if len(candidates) == 0 {
+		candidates = live
+	}
+	if s.count(now) > maxFullMeshSize {
+		served := servedMembers(s.membersByZone(now), candidates)
+		return Select(candidates, func(zone string) int { return aggregatorQuota(served[zone]) })
+	}
+	if len(candidates) == len(live) {
 		return nil
 	}
+	return Select(candidates, func(string) int { return maxFullMeshSize })
+}
+
+// servedMembers returns the number of VMs that the aggregators of each zone serve: those of the zone, and an equal share
+// of those in zones without a candidate.
+func servedMembers(members map[string]int, candidates []VM) map[string]int {
+	served := map[string]int{}
+	for _, vm := range candidates {
+		served[vm.Zone] = members[vm.Zone]
+	}
+	others := 0
+	for zone, n := range members {
+		if _, ok := served[zone]; !ok {
+			others += n
+		}
+	}
+	for zone := range served {
+		served[zone] += others / len(served)
+	}
+	return served
+}
+
+// liveVMs returns the VMs that can be aggregators.
+func (s *memberList) liveVMs(now time.Time) []VM {
 	var live []VM
 	if !s.leaving {
 		live = append(live, s.self)
@@ -240,34 +307,32 @@
 			live = append(live, m.VM)
 		}
 	}
-	members := s.membersByZone(now)
-	return Select(live, func(zone string) int { return aggregatorQuota(members[zone]) })
+	return live
 }
 
 func (s *memberList) shouldConnect(now time.Time, vm netip.AddrPort) bool {
 	aggregators := s.aggregators(now)
 	m, ok := s.members[vm]
 	switch {
-	case len(aggregators) == 0:
+	case len(aggregators) == 0 || s.count(now) <= maxFullMeshSize:
 		return true
 	case ok && !m.discovered.IsZero() && now.Sub(m.discovered) < introductionPeriod:
 		return true
-	case slices.ContainsFunc(aggregators, func(a VM) bool { return a.Address == s.self.Address }):
-		return slices.ContainsFunc(aggregators, func(a VM) bool { return a.Address == vm }) ||
-			(ok && now.Sub(m.heartbeat) < heartbeatTimeout)
+	case containsVM(aggregators, s.self.Address):
+		return containsVM(aggregators, vm) || (ok && now.Sub(m.heartbeat) < heartbeatTimeout)
 	}
-	return slices.ContainsFunc(s.aggregatorLinks(aggregators), func(a VM) bool { return a.Address == vm })
+	return containsVM(s.aggregatorLinks(aggregators), vm)
 }
 
-// aggregatorLinks returns the aggregators to which a VM that is not an aggregator stays connected: all in its own
-// zone, and a few in other zones in case those fail.
+// aggregatorLinks returns the aggregators to which a VM that is not an aggregator stays connected: all in its own zone,
+// and a few in other zones in case those fail or there are none.
 func (s *memberList) aggregatorLinks(aggregators []VM) []VM {
-	remote := 0
-	return slices.DeleteFunc(slices.Clone(aggregators), func(a VM) bool {
-		if a.Zone == s.self.Zone {
-			return false
-		}
-		remote++
-		return remote > remoteZoneLinks
-	})
+	links := inZone(aggregators, s.self.Zone)
+	remote := slices.DeleteFunc(slices.Clone(aggregators), func(a VM) bool { return a.Zone == s.self.Zone })
+	slices.SortFunc(remote, func(a, b VM) int { return cmp.Compare(affinity(s.self, b), affinity(s.self, a)) })
+	n := remoteZoneLinks
+	if len(links) == 0 {
+		n = linksWithoutLocal
+	}
+	return append(links, remote[:min(n, len(remote))]...)
 }
--- a/member/links.go
+++ b/member/links.go
@@ -42,7 +42,7 @@
 // publishTier updates the table of aggregators, and tells the listener if the division of the limits has changed.
 func (m *Member) publishTier(now time.Time) {
 	aggregators := m.members.Aggregators(now)
-	m.aggregators.SetAggregators(aggregators)
+	m.aggregators.SetAggregators(m.members.AggregatorLinks(now))
 	shares := aggregator.LimitShares{Members: m.members.Count(now), Aggregators: len(aggregators)}
 	shares.IsAggregator = slices.ContainsFunc(aggregators, func(vm aggregator.VM) bool { return vm.Address == m.self.Address })
 	changed := false
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -4,6 +4,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"pistachioshore.dev/route"
@@ -82,6 +83,23 @@
 	return table.WithResult(t.state, func(st *state) bool { return len(st.services[service]) > 0 })
 }
 
+// ServicesByZone returns, for each zone, how many of the services have a replica listed there, whatever its state.
+func (t *Table) ServicesByZone(services map[string]bool) map[string]int {
+	return table.WithResult(t.state, func(st *state) map[string]int {
+		counts := map[string]int{}
+		for service := range services {
+			var zones []string
+			for _, r := range st.services[service] {
+				if !slices.Contains(zones, r.server.Zone) {
+					zones = append(zones, r.server.Zone)
+					counts[r.server.Zone]++
+				}
+			}
+		}
+		return counts
+	})
+}
+
 // SetEvacuated replaces the set of evacuated zones, whose replicas receive no requests.
 func (t *Table) SetEvacuated(zones map[string]bool) {
 	t.state.With(func(st *state) { st.evacuated = zones })
