--- a/aggregator/aggregator.go
+++ b/aggregator/aggregator.go
@@ -1,9 +1,8 @@
-// Package aggregator selects the VMs of a large tier that fan out queries to the shards on behalf of the others.
+// Package aggregator selects the VMs that fan out queries to the shards on behalf of others.
 //
-// A shard server handles only a few dozen connections, so only a few VMs can keep connections open to every
-// server. In a large tier a limited number of aggregators fan out queries, and the other VMs forward their queries to
-// them. Aggregators are in the availability zones that host replicas of the shards, because a query that crosses zones
-// once moves a fraction of the bytes of its sub-requests. In a small tier every VM in those zones fans out queries.
+// A shard server handles only a few dozen connections, so that in a large tier only a few VMs of each availability zone,
+// the aggregators, can keep connections open to the servers. In a small tier every VM is an aggregator. A query is split
+// by availability zone, and each part is fanned out by an aggregator of its zone.
 package aggregator
 
 import (
@@ -27,7 +26,7 @@
 // LimitShares describes how the limits of an upstream are divided among the VMs of the tier.
 type LimitShares struct {
 	Members      int  // VMs in the tier, at least 1
-	Aggregators  int  // aggregators in the tier; 0 if every VM fans out its own queries
+	Aggregators  int  // aggregators in the tier; 0 in a small tier, where every VM is one
 	IsAggregator bool // this VM is an aggregator
 }
 
@@ -77,7 +76,7 @@
 	return slices.ContainsFunc(list, func(vm VM) bool { return vm.Address == address })
 }
 
-// Table holds the aggregators to which a VM can forward queries. It is safe for concurrent use.
+// Table holds the aggregators to which a VM can forward parts of queries. It is safe for concurrent use.
 type Table struct {
 	state *table.Guarded[tableState]
 }
@@ -101,7 +100,8 @@
 	return &Table{state: table.NewGuarded(table.RankPending, tableState{self: self, peers: map[netip.AddrPort]*peer{}})}
 }
 
-// SetAggregators replaces the aggregators and drops the state of those that are no longer listed.
+// SetAggregators replaces the aggregators and drops the state of those that are no longer listed. The list may contain
+// this VM.
 func (t *Table) SetAggregators(aggregators []VM) {
 	t.state.With(func(s *tableState) {
 		s.aggregators = slices.Clone(aggregators)
@@ -113,11 +113,30 @@
 	})
 }
 
-// Pick selects the aggregator for a query, skipping those in tried, and counts the query as pending there. The
-// caller must call Done exactly once when the query has ended. Pick returns false if this VM should fan out the
-// query itself.
-func (t *Table) Pick(now time.Time, tried []netip.AddrPort) (netip.AddrPort, bool) {
-	return table.WithResults(t.state, func(s *tableState) (netip.AddrPort, bool) { return s.pick(now, tried) })
+// FansOut reports whether this VM fans out queries: it is an aggregator, or knows none.
+func (t *Table) FansOut() bool {
+	return table.WithResult(t.state, func(s *tableState) bool {
+		return len(s.aggregators) == 0 || containsVM(s.aggregators, s.self.Address)
+	})
+}
+
+// Zones returns the zones with an aggregator, other than this VM, that accepts queries as far as is known.
+func (t *Table) Zones(now time.Time) []string {
+	return table.WithResult(t.state, func(s *tableState) []string {
+		var zones []string
+		for _, vm := range s.aggregators {
+			if s.available(now, vm) && !slices.Contains(zones, vm.Zone) {
+				zones = append(zones, vm.Zone)
+			}
+		}
+		return zones
+	})
+}
+
+// Pick selects the aggregator of a zone for a query, skipping this VM and those in tried, and counts the query as pending
+// there. The caller must call Done exactly once when the query has ended. Pick returns false if there is none.
+func (t *Table) Pick(now time.Time, zone string, tried []netip.AddrPort) (netip.AddrPort, bool) {
+	return table.WithResults(t.state, func(s *tableState) (netip.AddrPort, bool) { return s.pick(now, zone, tried) })
 }
 
 // Done releases a pending query counted by Pick.
@@ -157,34 +176,28 @@
 	return p
 }
 
-// pick prefers aggregators in this VM's zone, and among those the one with the fewest pending queries. Equally loaded
-// ones take turns, starting at one that depends on this VM, because a VM seldom has more than one query pending.
-func (s *tableState) pick(now time.Time, tried []netip.AddrPort) (netip.AddrPort, bool) {
-	if len(s.aggregators) == 0 || containsVM(s.aggregators, s.self.Address) {
+// available reports whether the VM is another one that is not skipped at the moment.
+func (s *tableState) available(now time.Time, vm VM) bool {
+	return vm.Address != s.self.Address && !now.Before(s.peer(vm.Address).backoffUntil)
+}
+
+// pick prefers the aggregator with the fewest pending queries. Equally loaded ones take turns, starting at one that
+// depends on this VM, because a VM seldom has more than one query pending.
+func (s *tableState) pick(now time.Time, zone string, tried []netip.AddrPort) (netip.AddrPort, bool) {
+	candidates := slices.DeleteFunc(inZone(s.aggregators, zone), func(vm VM) bool {
+		return slices.Contains(tried, vm.Address) || !s.available(now, vm)
+	})
+	if len(candidates) == 0 {
 		return netip.AddrPort{}, false
 	}
-	var best VM
 	s.picks++
-	first := int((xxhash.Sum64String(s.self.Address.String()) + s.picks) % uint64(len(s.aggregators)))
-	for i := range s.aggregators {
-		vm := s.aggregators[(first+i)%len(s.aggregators)]
-		if slices.Contains(tried, vm.Address) || now.Before(s.peer(vm.Address).backoffUntil) {
-			continue
-		}
-		if !best.Address.IsValid() || s.preferred(vm, best) {
+	first := xxhash.Sum64String(s.self.Address.String()) + s.picks
+	best := candidates[first%uint64(len(candidates))]
+	for _, vm := range candidates {
+		if s.peer(vm.Address).pending < s.peer(best.Address).pending {
 			best = vm
 		}
 	}
-	if !best.Address.IsValid() {
-		return netip.AddrPort{}, false
-	}
 	s.peer(best.Address).pending++
 	return best.Address, true
 }
-
-func (s *tableState) preferred(a, b VM) bool {
-	if sameZone := a.Zone == s.self.Zone; sameZone != (b.Zone == s.self.Zone) {
-		return sameZone
-	}
-	return s.peer(a.Address).pending < s.peer(b.Address).pending
-}
--- a/aggregator/aggregator_test.go
+++ b/aggregator/aggregator_test.go
@@ -22,8 +22,8 @@
 }
 
 // TestScripts guards against aggregators in a small tier, VMs of a large tier that select different aggregators
-// or connect to too many VMs, aggregators in zones that host no replicas, queries sent to aggregators that do not accept
-// them, and queries that all go to the same of several aggregators.
+// or connect to too many VMs, queries sent to aggregators that do not accept them, and queries that all go to the same of
+// several aggregators.
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		var s *scriptedVM
@@ -73,8 +73,6 @@
 		}
 	case "report":
 		s.members.RecordIndirectHeartbeat(parseVM(f[2:5]), now)
-	case "hosting": // zones
-		s.members.SetHostingZones(f[2:])
 	case "leave":
 		s.members.Leave()
 	case "show":
@@ -83,14 +81,16 @@
 		return s.shouldConnect(now, f[2:])
 	case "choose":
 		s.table.SetAggregators(s.members.AggregatorLinks(now))
-	case "pick":
-		return s.pick(now)
-	case "turn": // a query that is answered before the next one
-		v, _ := s.table.Pick(now, nil)
+	case "pick": // zone
+		return s.pick(now, f[2])
+	case "turn": // zone, for a query that is answered before the next one
+		v, _ := s.table.Pick(now, f[2], nil)
 		s.table.Done(v)
 		return fmt.Sprintln("picks", v)
-	case "primary":
-		v, _ := s.members.PrimaryAggregator(now, aggregator.VM{Address: address("1"), Zone: "a"})
+	case "zones":
+		return fmt.Sprintf("zones %v, fans out %t\n", s.table.Zones(now), s.table.FansOut())
+	case "primary": // number and zone of a VM
+		v, _ := s.members.PrimaryAggregator(now, aggregator.VM{Address: address(f[2]), Zone: f[3]})
 		return fmt.Sprintln("primary", v)
 	case "done":
 		s.table.Done(address(f[2]))
@@ -120,11 +120,11 @@
 	return strings.Join(out, ", ") + "\n"
 }
 
-// pick forwards one query to each available aggregator in turn and leaves it pending at the first.
-func (s *scriptedVM) pick(now time.Time) string {
+// pick forwards one query to each available aggregator of a zone in turn and leaves it pending at the first.
+func (s *scriptedVM) pick(now time.Time, zone string) string {
 	var tried []netip.AddrPort
 	for {
-		v, ok := s.table.Pick(now, tried)
+		v, ok := s.table.Pick(now, zone, tried)
 		if !ok {
 			break
 		}
--- a/aggregator/memberlist.go
+++ b/aggregator/memberlist.go
@@ -14,7 +14,7 @@
 
 // MemberList is the view that one VM has of its tier. It is safe for concurrent use.
 //
-// In a small tier each VM is connected to all others. In a large tier a VM is connected to some aggregators only, and
+// In a small tier each VM is connected to all others. In a large tier a VM is connected to aggregators only, and
 // an aggregator to the other aggregators and to all VMs that send it heartbeats.
 type MemberList struct {
 	state *table.Guarded[memberList]
@@ -25,7 +25,6 @@
 	started time.Time
 	leaving bool
 	members map[netip.AddrPort]*member
-	hosting []string // zones that host replicas of the shards, sorted; empty if not known
 
 	selected   []VM // aggregators as selected at selectedAt
 	selectedAt time.Time
@@ -85,16 +84,6 @@
 	})
 }
 
-// SetHostingZones sets the zones that host replicas of the shards, from which the aggregators are selected. Without any,
-// or without a live VM in them, aggregators are selected from all zones.
-func (l *MemberList) SetHostingZones(zones []string) {
-	sorted := slices.Sorted(slices.Values(zones))
-	l.state.With(func(s *memberList) {
-		s.changed = s.changed || !slices.Equal(sorted, s.hosting)
-		s.hosting = sorted
-	})
-}
-
 // Leave records that this VM is about to stop, which makes it ineligible as an aggregator.
 func (l *MemberList) Leave() {
 	l.state.With(func(s *memberList) { s.leaving, s.changed = true, true })
@@ -111,19 +100,24 @@
 	return table.WithResult(l.state, func(s *memberList) int { return s.seenByZone(now)[s.self.Zone] })
 }
 
-// Aggregators returns the VMs that fan out queries, or nil if every VM fans out its own.
+// Aggregators returns the aggregators of a large tier. It returns none for a small tier, where every VM is one.
 func (l *MemberList) Aggregators(now time.Time) []VM {
 	return table.WithResult(l.state, func(s *memberList) []VM { return s.aggregators(now) })
 }
 
-// AggregatorLinks returns the aggregators to which this VM stays connected, and to which it can forward queries.
+// AggregatorLinks returns the aggregators to which this VM stays connected, and to which it can forward parts of queries:
+// all VMs of a small tier, and those that ShouldConnect names in a large one. This VM is in the list if it is one.
 func (l *MemberList) AggregatorLinks(now time.Time) []VM {
 	return table.WithResult(l.state, func(s *memberList) []VM {
 		aggregators := s.aggregators(now)
-		if s.count(now) <= maxFullMeshSize || containsVM(aggregators, s.self.Address) {
+		switch {
+		case len(aggregators) == 0:
+			return s.liveVMs(now)
+		case containsVM(aggregators, s.self.Address):
 			return aggregators
+		default:
+			return s.aggregatorLinks(aggregators)
 		}
-		return s.aggregatorLinks(aggregators)
 	})
 }
 
@@ -259,44 +253,15 @@
 	maps.DeleteFunc(s.members, func(_ netip.AddrPort, m *member) bool { return now.Sub(m.lastSeen()) >= memberRetention })
 }
 
-// selectAggregators selects the aggregators from the live VMs. In a small tier these are all VMs in the hosting zones,
-// if some zone is none.
 func (s *memberList) selectAggregators(now time.Time) []VM {
-	live := s.liveVMs(now)
-	candidates := slices.DeleteFunc(slices.Clone(live), func(vm VM) bool { return !slices.Contains(s.hosting, vm.Zone) })
-	if len(candidates) == 0 {
-		candidates = live
-	}
-	if s.count(now) > maxFullMeshSize {
-		served := servedMembers(s.membersByZone(now), candidates)
-		return Select(candidates, func(zone string) int { return aggregatorQuota(served[zone]) })
-	}
-	if len(candidates) == len(live) {
+	if s.count(now) <= maxFullMeshSize {
 		return nil
 	}
-	return Select(candidates, func(string) int { return maxFullMeshSize })
+	members := s.membersByZone(now)
+	return Select(s.liveVMs(now), func(zone string) int { return aggregatorQuota(members[zone]) })
 }
 
-// servedMembers returns the number of VMs that the aggregators of each zone serve: those of the zone, and an equal share
-// of those in zones without a candidate.
-func servedMembers(members map[string]int, candidates []VM) map[string]int {
-	served := map[string]int{}
-	for _, vm := range candidates {
-		served[vm.Zone] = members[vm.Zone]
-	}
-	others := 0
-	for zone, n := range members {
-		if _, ok := served[zone]; !ok {
-			others += n
-		}
-	}
-	for zone := range served {
-		served[zone] += others / len(served)
-	}
-	return served
-}
-
-// liveVMs returns the VMs that can be aggregators.
+// liveVMs returns the VMs that can be aggregators, in order of address.
 func (s *memberList) liveVMs(now time.Time) []VM {
 	var live []VM
 	if !s.leaving {
@@ -307,6 +272,7 @@
 			live = append(live, m.VM)
 		}
 	}
+	slices.SortFunc(live, func(a, b VM) int { return a.Address.Compare(b.Address) })
 	return live
 }
 
@@ -314,7 +280,7 @@
 	aggregators := s.aggregators(now)
 	m, ok := s.members[vm]
 	switch {
-	case len(aggregators) == 0 || s.count(now) <= maxFullMeshSize:
+	case len(aggregators) == 0:
 		return true
 	case ok && !m.discovered.IsZero() && now.Sub(m.discovered) < introductionPeriod:
 		return true
@@ -325,14 +291,14 @@
 }
 
 // aggregatorLinks returns the aggregators to which a VM that is not an aggregator stays connected: all in its own zone,
-// and a few in other zones in case those fail or there are none.
+// and in each other zone one, to which it forwards the parts of its queries for that zone.
 func (s *memberList) aggregatorLinks(aggregators []VM) []VM {
-	links := inZone(aggregators, s.self.Zone)
-	remote := slices.DeleteFunc(slices.Clone(aggregators), func(a VM) bool { return a.Zone == s.self.Zone })
-	slices.SortFunc(remote, func(a, b VM) int { return cmp.Compare(affinity(s.self, b), affinity(s.self, a)) })
-	n := remoteZoneLinks
-	if len(links) == 0 {
-		n = linksWithoutLocal
-	}
-	return append(links, remote[:min(n, len(remote))]...)
+	ranked := slices.Clone(aggregators)
+	slices.SortFunc(ranked, func(a, b VM) int { return cmp.Compare(affinity(s.self, b), affinity(s.self, a)) })
+	linked := map[string]bool{}
+	return slices.DeleteFunc(ranked, func(a VM) bool {
+		surplus := a.Zone != s.self.Zone && linked[a.Zone]
+		linked[a.Zone] = true
+		return surplus
+	})
 }
--- a/aggregator/options.go
+++ b/aggregator/options.go
@@ -15,11 +15,6 @@
 	// than two.
 	maxFullMeshSize = 16
 
-	// remoteZoneLinks is the number of aggregators in other zones to which a VM stays connected. A VM whose own zone has
-	// no aggregators stays connected to linksWithoutLocal.
-	remoteZoneLinks   = 2
-	linksWithoutLocal = 4
-
 	// introductionPeriod is the time for which a newly discovered VM stays connected, so that it learns about the
 	// tier from whichever VM it contacted.
 	introductionPeriod = 5 * time.Second
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -22,10 +22,23 @@
 // mergedAnswer returns the greatest records of the shards that answered.
 func (q *query) mergedAnswer(g gather.Answer[*Response]) Answer {
 	a := Answer{Code: g.Code, Sharded: true}
-	if len(g.Covered) == 0 || g.Coverage() < q.route.MinCoverage {
+	if len(g.Covered) == 0 || (q.req.Shards == nil && g.Coverage() < q.route.MinCoverage) {
 		a.Code = q.failureCode(g)
 		return q.recordAnswer(a, g)
 	}
+	q.merge(&a, g)
+	return q.recordAnswer(a, g)
+}
+
+// partialAnswer returns the answer with the shards that have answered so far.
+func (q *query) partialAnswer() Answer {
+	a := Answer{Code: result.Partial, Sharded: true}
+	q.merge(&a, q.state.Answer())
+	return a
+}
+
+// merge adds the records and stamps of the shards that have answered.
+func (q *query) merge(a *Answer, g gather.Answer[*Response]) {
 	a.Missing = len(g.Missing)
 	bodies := make([][]byte, 0, len(g.Values))
 	for _, resp := range g.Values {
@@ -33,7 +46,6 @@
 		a.Stamps = append(a.Stamps, resp.Stamp)
 	}
 	a.Records = topRecords(bodies, q.route.TopK)
-	return q.recordAnswer(a, g)
 }
 
 // singleAnswer returns the response of the upstream, including an error response.
@@ -91,21 +103,34 @@
 	return out.String()
 }
 
-// recordAnswer counts and logs the answer, and sets its retry delay if the request was refused.
-func (q *query) recordAnswer(a Answer, g gather.Answer[*Response]) Answer {
-	kind := event.RequestAnswered
+// answerEvent returns the kind of event for an answer with the given code.
+func answerEvent(code result.Code) event.Kind {
 	switch {
-	case a.Code == result.Partial:
-		kind = event.PartialAnswer
-	case a.Code == result.Complete:
-	case a.Code.Effect() == result.NotRun:
-		kind = event.RequestRefused
-		a.RetryAfter = q.refusalDelay(a.Code)
+	case code == result.Partial:
+		return event.PartialAnswer
+	case code == result.Complete:
+		return event.RequestAnswered
+	case code.Effect() == result.NotRun:
+		return event.RequestRefused
 	default:
-		kind = event.RequestFailed
+		return event.RequestFailed
+	}
+}
+
+// recordAnswer counts and logs the answer, and sets its retry delay if the request was refused. A part that this VM merges
+// itself is logged only if shards are missing, and is not counted as a request.
+func (q *query) recordAnswer(a Answer, g gather.Answer[*Response]) Answer {
+	kind := answerEvent(a.Code)
+	if kind == event.RequestRefused {
+		a.RetryAfter = q.refusalDelay(a.Code)
+	}
+	ownPart := q.req.Shards != nil && !q.req.Relayed
+	if ownPart && kind == event.RequestAnswered {
+		return a
+	}
+	if !ownPart {
+		q.vm.stats.recordRequest(q.route.Name, a.Code, time.Since(q.req.ReceivedAt))
 	}
-	elapsed := time.Since(q.req.ReceivedAt)
-	q.vm.stats.recordRequest(q.route.Name, a.Code, elapsed)
 	q.mu.Lock()
 	extraAttempts := q.extraAttempts
 	q.mu.Unlock()
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -32,10 +32,14 @@
 	Deadline   time.Time // when the client stops waiting; zero if it sent none
 	// Transit is the time the request and its answer spend on the network between client and VM,
 	// including connection setup, and between VMs if the request is relayed.
-	Transit          time.Duration
-	Relayed          bool   // received from another VM, not from the client
-	MinConfigVersion uint64 // lowest configuration version that may serve the request; 0 for any
-	PriorAttempts    int    // attempts per shard that other VMs may have made already
+	Transit       time.Duration
+	Relayed       bool   // received from another VM, not from the client
+	ConfigVersion uint64 // configuration version that must serve a relayed request
+	Shards        []int  // positions of the shards in the route, if the request is a part of a query; nil for a whole one
+	PriorAttempts int    // attempts per shard that other VMs may have made already
+	// OnProgress, if not nil, receives the present answer to a part of a query when the query could be answered without
+	// the shards that are missing, and from then on now and then. It must not block.
+	OnProgress func(a Answer)
 
 	// Confirmed is closed once the VM that relayed the query relies on this VM alone for the answer. Until
 	// then this VM makes only one attempt per shard. If nil, retries and hedges are allowed from the start.
@@ -97,23 +101,28 @@
 	Sharded    bool          // the answer comes from a sharded route
 }
 
-// Relay sends queries over shards to other VMs, which answer them.
+// Relay sends parts of queries over shards to other VMs, which answer them.
 type Relay interface {
-	// Relay sends the query to another VM and returns the answer and the address of that VM. It returns false if
-	// no VM is available or none accepted the query. Attempts those VMs may have made are added to
+	// Zones returns the zones with another VM to which parts can be sent.
+	Zones(now time.Time) []string
+	// FansOut reports whether this VM may fan out parts itself.
+	FansOut() bool
+	// Relay sends the part of a query to a VM of the zone and returns the answer and the address of that VM. It returns
+	// false if no VM is available or none accepted the part. Attempts those VMs may have made are added to
 	// req.PriorAttempts.
-	Relay(ctx context.Context, req *Request, l RelayLimits) (Answer, netip.AddrPort, bool)
+	Relay(ctx context.Context, req *Request, zone string, l RelayLimits) (Answer, netip.AddrPort, bool)
 }
 
-// RelayLimits are the limits of a relayed query.
+// RelayLimits are the limits of a relayed part of a query.
 type RelayLimits struct {
-	MinConfigVersion uint64    // lowest configuration version that may serve the query
-	Deadline         time.Time // time after which the answer is no longer needed
-	MaxAttempts      int       // attempts per shard, summed over all VMs
+	ConfigVersion uint64    // configuration version that must serve the part
+	Deadline      time.Time // time after which the answer is no longer needed
+	MaxAttempts   int       // attempts per shard, summed over all VMs
 }
 
 // Settings are the settings that the platform gives a VM before it starts.
 type Settings struct {
+	Zone        string  // availability zone of this VM
 	RetryRatio  float64 // retries and hedges per request, summed over all VMs
 	RetryBurst  int     // further retries and hedges per measurement window of the platform, summed over all VMs
 	MaxInFlight int     // requests that this VM serves concurrently
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -1,8 +1,10 @@
 package forward_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"maps"
 	"net/netip"
 	"slices"
 	"strings"
@@ -32,20 +34,48 @@
 	sender   *sender
 	vm       *forward.VM
 	version  uint64
-	relay    string // how relayed queries end: "answered", "tried" or "none"; empty if there is no relay
-	relayed  int
+
+	mu      sync.Mutex
+	zones   map[string]string // how parts for a zone's aggregators end
+	idle    bool              // this VM fans out no parts itself
+	relayed []string          // parts that were relayed
+}
+
+// Zones returns the zones of the script.
+func (h *harness) Zones(time.Time) []string {
+	return slices.Sorted(maps.Keys(h.zones))
 }
 
-// Relay answers a relayed query as the script says.
-func (h *harness) Relay(_ context.Context, req *forward.Request, l forward.RelayLimits) (forward.Answer, netip.AddrPort, bool) {
-	h.relayed++
-	switch h.relay {
-	case "answered":
-		return forward.Answer{Code: result.Complete, Stamps: []string{"by-another"}, Records: []byte("xx"), Sharded: true}, netip.AddrPort{}, true
+// FansOut reports whether this VM fans out parts itself.
+func (h *harness) FansOut() bool { return !h.idle }
+
+// Relay ends a part as the script says: answered, lacking one shard, late (reports that one shard is missing, and never
+// ends), failed, tried (one attempt may have been made, and no answer comes) or none.
+func (h *harness) Relay(ctx context.Context, req *forward.Request, zone string, l forward.RelayLimits) (forward.Answer, netip.AddrPort, bool) {
+	h.mu.Lock()
+	h.relayed = append(h.relayed, fmt.Sprint(zone, req.Shards))
+	h.mu.Unlock()
+	a := forward.Answer{Code: result.Complete, Records: bytes.Repeat([]byte("x"), 16), Sharded: true}
+	for _, i := range req.Shards {
+		a.Stamps = append(a.Stamps, fmt.Sprint(zone, "-", i))
+	}
+	switch h.zones[zone] {
+	case "lacking", "late":
+		a.Code, a.Missing, a.Stamps = result.Partial, 1, a.Stamps[1:]
+	case "failed":
+		a = forward.Answer{Code: result.ConnectionLost, Sharded: true}
 	case "tried":
 		req.PriorAttempts = l.MaxAttempts - 1
+		return forward.Answer{}, netip.AddrPort{}, false
+	case "none":
+		return forward.Answer{}, netip.AddrPort{}, false
 	}
-	return forward.Answer{}, netip.AddrPort{}, false
+	if h.zones[zone] == "late" {
+		req.OnProgress(a)
+		<-ctx.Done()
+		a = forward.Answer{Code: result.Cancelled}
+	}
+	return a, netip.AddrPort{}, true
 }
 
 // sender ends attempts by the behaviours of their servers. Each attempt uses the next behaviour in the list, and the
@@ -120,18 +150,19 @@
 }
 
 func newHarness(t *testing.T) *harness {
-	h := &harness{t: t, routes: route.NewStore(), sender: &sender{behaviours: map[string][]string{}}}
+	h := &harness{t: t, zones: map[string]string{}, routes: route.NewStore(), sender: &sender{behaviours: map[string][]string{}}}
 	h.replicas = replica.New(replica.Settings{Zone: "brest-nord"})
-	s := forward.Settings{RetryRatio: 0.2, RetryBurst: 52, MaxInFlight: 8, Workers: 2}
+	s := forward.Settings{Zone: "brest-nord", RetryRatio: 0.2, RetryBurst: 52, MaxInFlight: 8, Workers: 2}
 	h.vm = forward.New(s, h.routes, h.replicas, h.sender, event.Discard{})
 	return h
 }
 
 // TestScripts guards against wrong answers when upstreams fail, shed, lose the connection or do not respond, and
 // against attempts beyond the limits of the route and the retry budget. Requests that resting upstreams keep from being
-// served must be refused at once, with the time at which they can be.
+// served must be refused at once, with the time at which they can be. The parts that other VMs fan out must be merged into a
+// truthful answer, whatever becomes of them.
 func TestScripts(t *testing.T) {
-	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+	datadriven.Walk(t, "testdata/vm", func(t *testing.T, path string) {
 		h := newHarness(t)
 		defer h.vm.Close()
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
@@ -144,8 +175,13 @@
 				return ""
 			case "serve":
 				return h.serve(d)
-			case "relay":
-				h.relay = strings.TrimSpace(d.Input)
+			case "relay": // zones with aggregators and how their parts end
+				h.zones = map[string]string{}
+				for _, line := range strings.Split(strings.TrimSpace(d.Input), "\n") {
+					zone, end, _ := strings.Cut(line, " ")
+					h.zones[zone] = end
+				}
+				h.idle = d.HasArg("idle")
 				h.vm.SetRelay(h)
 				return ""
 			case "rest": // a server and the seconds for which it wants no requests
@@ -230,14 +266,21 @@
 	req := &forward.Request{
 		ID: "id", Method: "GET", Target: path, Path: path, Host: "h", ReceivedAt: now, Deadline: now.Add(time.Second), Relayed: d.HasArg("relayed"),
 	}
-	d.MaybeScanArgs(h.t, "version", &req.MinConfigVersion)
+	if req.Relayed {
+		req.ConfigVersion = h.version
+		d.MaybeScanArgs(h.t, "version", &req.ConfigVersion)
+		d.MaybeScanArgs(h.t, "shards", &req.Shards)
+	}
 	if d.HasArg("held") {
 		req.Confirmed = make(chan struct{})
 	}
-	h.relayed = 0
+	h.relayed = nil
 	out := h.describe(h.vm.Serve(ctx, req))
-	if h.relay != "" {
-		out += fmt.Sprintf("passed on %d times\n", h.relayed)
+	if len(h.zones) > 0 {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		slices.Sort(h.relayed)
+		out += fmt.Sprintf("relayed %v\n", h.relayed)
 	}
 	return out
 }
--- a/forward/isolation.go
+++ b/forward/isolation.go
@@ -63,27 +63,6 @@
 	return true
 }
 
-// hostingShare is the fraction of the shards that must have a replica in a zone for the zone to host them. It leaves room
-// for replicas that are lost or replaced.
-const hostingShare = 0.8
-
-// HostingZones returns the zones that host replicas of nearly all shards, so that a query can be fanned out there without
-// crossing zones. It is empty as long as the configuration or the upstreams are not known.
-func (vm *VM) HostingZones() []string {
-	cfg := vm.routes.Current()
-	if cfg == nil {
-		return nil
-	}
-	services := cfg.ShardServices()
-	var zones []string
-	for zone, n := range vm.replicas.ServicesByZone(services) {
-		if float64(n) >= hostingShare*float64(len(services)) {
-			zones = append(zones, zone)
-		}
-	}
-	return zones
-}
-
 // recordIsolation records a change of the isolation state and starts health checks of unreachable zones.
 func (vm *VM) recordIsolation(isolated bool, unreachable []string) {
 	now := time.Now()
--- a/forward/notice.go
+++ b/forward/notice.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -53,7 +52,7 @@
 // restDelay returns the time until enough resting upstreams may receive requests again to serve the route, or 0 if
 // their rest is not what the route lacks.
 func (q *query) restDelay(now time.Time) time.Duration {
-	missing := int(math.Ceil(q.minCoverage()*float64(len(q.shards)))) - len(q.shards)
+	missing := requiredShards(q.minCoverage(), len(q.shards)) - len(q.shards)
 	var ends []time.Time
 	for _, shard := range q.shards {
 		if len(q.vm.replicas.Candidates(now, shard.Service, q.route.Regions, q.route.Idempotent)) > 0 {
--- a/forward/options.go
+++ b/forward/options.go
@@ -7,6 +7,9 @@
 	// time, for the work of this VM before it has read the request and after the answer is decided.
 	processingReserve = 3 * time.Millisecond
 
+	// mergeReserve is subtracted in addition from the latency target of a query whose parts other VMs fan out, for the
+	// work of merging them on a VM with a fifth of a core.
+	mergeReserve = 5 * time.Millisecond
 	// defaultTimeout applies if neither the client nor the route limits the time.
 	defaultTimeout = 10 * time.Second
 
@@ -18,6 +21,9 @@
 	// slower only because they cross zones.
 	minHedgeDelay = 8 * time.Millisecond
 
+	// progressInterval is the time between two reports of a part that is overdue to the VM that merges the query.
+	progressInterval = 20 * time.Millisecond
+
 	// abandonGrace is how long an abandoned attempt may take to end before its connection is closed.
 	abandonGrace = 5 * time.Millisecond
 
--- /dev/null
+++ b/forward/parts.go
@@ -0,0 +1,216 @@
+package forward
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"pistachioshore.dev/event"
+	"pistachioshore.dev/result"
+	"pistachioshore.dev/route"
+)
+
+// splitQuery is a query over shards whose parts are fanned out by several VMs. This VM merges their answers.
+type splitQuery struct {
+	vm          *VM
+	req         *Request
+	cfg         *route.Config
+	route       *route.Route
+	fingerprint uint64
+	parts       []part
+	updates     chan partUpdate
+}
+
+// partUpdate is the present answer to a part. It is not final while shards are missing that may still answer.
+type partUpdate struct {
+	part   int
+	answer Answer
+	final  bool
+}
+
+// partition returns the parts of a query over shards, or nil if this VM fans out all of it.
+func (vm *VM) partition(req *Request, r *route.Route) []part {
+	if vm.relay == nil || req.Relayed || !r.Sharded() {
+		return nil
+	}
+	now := time.Now()
+	unreachable := vm.replicas.UnreachableZones(now)
+	remote := slices.DeleteFunc(vm.relay.Zones(now), func(zone string) bool { return slices.Contains(unreachable, zone) })
+	if len(remote) == 0 {
+		return nil
+	}
+	rand.Shuffle(len(remote), func(i, j int) { remote[i], remote[j] = remote[j], remote[i] })
+	p := partitioner{zone: vm.settings.Zone, fansOut: vm.relay.FansOut(), remote: remote}
+	parts := p.partition(vm.replicas.UsableZones(now, r.Shards, r.Regions))
+	if len(parts) == 1 && parts[0].zone == "" {
+		return nil
+	}
+	return parts
+}
+
+func newSplitQuery(vm *VM, req *Request, cfg *route.Config, r *route.Route, fingerprint uint64, parts []part) *splitQuery {
+	return &splitQuery{vm: vm, req: req, cfg: cfg, route: r, fingerprint: fingerprint, parts: parts, updates: make(chan partUpdate, 2*len(parts))}
+}
+
+// run has the parts fanned out and returns the merged answer.
+func (s *splitQuery) run(ctx context.Context) Answer {
+	partCtx, cancel := context.WithCancel(ctx)
+	var work sync.WaitGroup
+	defer work.Wait()
+	defer cancel()
+	for i := range s.parts {
+		work.Go(func() { s.finish(partCtx, partUpdate{part: i, answer: s.servePart(partCtx, i), final: true}) })
+	}
+	return s.collect(ctx)
+}
+
+// finish passes on the final answer to a part, unless the query has ended.
+func (s *splitQuery) finish(ctx context.Context, u partUpdate) {
+	select {
+	case s.updates <- u:
+	case <-ctx.Done():
+	}
+}
+
+// reportProgress passes on the present answer to a part without blocking. A later one replaces one that is dropped.
+func (s *splitQuery) reportProgress(u partUpdate) {
+	select {
+	case s.updates <- u:
+	default:
+	}
+}
+
+// collect waits until all parts are final, until the time of the answer if the shards that have answered by then
+// suffice, or until the deadline.
+func (s *splitQuery) collect(ctx context.Context) Answer {
+	answers := make([]Answer, len(s.parts))
+	end := deadline(s.req, s.route)
+	dueAt := answerBy(s.req, s.route)
+	if dueAt.IsZero() {
+		dueAt = end
+	}
+	due := time.NewTimer(time.Until(dueAt.Add(-mergeReserve)))
+	defer due.Stop()
+	deadlinePassed := time.NewTimer(time.Until(end))
+	defer deadlinePassed.Stop()
+	isDue := false
+	for pending := len(s.parts); pending > 0 && !(isDue && s.covered(answers) >= s.required()); {
+		select {
+		case u := <-s.updates:
+			if u.final {
+				pending--
+			}
+			if u.final || len(u.answer.Stamps) > len(answers[u.part].Stamps) {
+				answers[u.part] = u.answer
+			}
+		case <-due.C:
+			isDue = true
+		case <-deadlinePassed.C:
+			return s.merge(answers)
+		case <-ctx.Done():
+			s.vm.stats.recordDisconnect()
+			s.vm.events.Record(event.RequestAbandoned, s.eventFields()...)
+			return Answer{Code: result.Cancelled}
+		}
+	}
+	return s.merge(answers)
+}
+
+// required returns the number of shards that an answer must cover.
+func (s *splitQuery) required() int {
+	return requiredShards(s.route.MinCoverage, len(s.route.Shards))
+}
+
+func (s *splitQuery) covered(answers []Answer) int {
+	n := 0
+	for _, a := range answers {
+		n += len(a.Stamps)
+	}
+	return n
+}
+
+// servePart returns the final answer to a part: from an aggregator of its zone, or from this VM if there is none that
+// accepts it.
+func (s *splitQuery) servePart(ctx context.Context, i int) Answer {
+	p := s.parts[i]
+	req := *s.req
+	req.Shards = p.shards
+	req.OnProgress = func(a Answer) { s.reportProgress(partUpdate{part: i, answer: a}) }
+	if p.zone != "" {
+		limits := RelayLimits{ConfigVersion: s.cfg.Version, Deadline: deadline(&req, s.route), MaxAttempts: s.route.MaxAttempts}
+		a, peer, ok := s.vm.relay.Relay(ctx, &req, p.zone, limits)
+		if ok {
+			s.recordRelayed(a, peer, p)
+			return a
+		}
+	}
+	q := newQuery(s.vm, &req, s.cfg, s.route, s.fingerprint)
+	if denied := q.plan(); denied.code != 0 {
+		return Answer{Code: denied.code, RetryAfter: denied.retryAfter, Sharded: true}
+	}
+	return q.run(ctx)
+}
+
+func (s *splitQuery) recordRelayed(a Answer, peer netip.AddrPort, p part) {
+	s.vm.events.Record(event.QueryRelayed, s.eventFields(event.F(event.Peer, peer), event.F(event.Zone, p.zone), event.F(event.Code, a.Code),
+		event.F(event.CoveredShards, len(a.Stamps)), event.F(event.Shards, len(p.shards)))...)
+}
+
+// merge returns the answer to the query from those to its parts.
+func (s *splitQuery) merge(answers []Answer) Answer {
+	out := Answer{Sharded: true}
+	covered := s.covered(answers)
+	if covered == 0 || covered < s.required() {
+		out.Code, out.RetryAfter = s.failure(answers)
+		s.record(out, covered)
+		return out
+	}
+	out.Missing = len(s.route.Shards) - covered
+	out.Code = result.Complete
+	if out.Missing > 0 {
+		out.Code = result.Partial
+	}
+	bodies := make([][]byte, 0, len(answers))
+	out.Stamps = make([]string, 0, covered)
+	for _, a := range answers {
+		bodies = append(bodies, a.Records)
+		out.Stamps = append(out.Stamps, a.Stamps...)
+	}
+	out.Records = topRecords(bodies, s.route.TopK)
+	s.record(out, covered)
+	return out
+}
+
+// failure returns the code and the Retry-After of a query that covers too few shards. The code's effect is NotRun only if
+// no part may have run.
+func (s *splitQuery) failure(answers []Answer) (code result.Code, retry time.Duration) {
+	for _, a := range answers {
+		retry = max(retry, a.RetryAfter)
+		switch {
+		case a.Code == 0 || a.Code.HasAnswer(): // not final, or covers some of its shards
+			if code == 0 || code.Effect() == result.NotRun {
+				code = result.Late
+			}
+		case code == 0 || (code.Effect() == result.NotRun && a.Code.Effect() != result.NotRun):
+			code = a.Code
+		}
+	}
+	if code.Effect() != result.NotRun {
+		return code, 0
+	}
+	return code, max(retry, retryAfter(code))
+}
+
+// record counts and logs the answer.
+func (s *splitQuery) record(a Answer, covered int) {
+	s.vm.stats.recordRequest(s.route.Name, a.Code, time.Since(s.req.ReceivedAt))
+	s.vm.events.Record(answerEvent(a.Code), s.eventFields(event.F(event.Code, a.Code), event.F(event.CoveredShards, covered),
+		event.F(event.Shards, len(s.route.Shards)), event.F(event.Count, len(s.parts)), event.F(event.Delay, a.RetryAfter))...)
+}
+
+func (s *splitQuery) eventFields(more ...event.Field) []event.Field {
+	return requestFields(s.vm, s.req, s.cfg, s.route, more)
+}
--- a/forward/query.go
+++ b/forward/query.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"strings"
 	"sync"
@@ -66,15 +67,13 @@
 		Revision:         q.cfg.Version,
 		Deadline:         q.deadline,
 		MinimumCoverage:  q.minCoverage(),
-		CoverageRequired: true,
+		CoverageRequired: q.req.Shards == nil,
 		MaxAttempts:      max(q.route.MaxAttempts-q.req.PriorAttempts, 1),
 		NotIdempotent:    !q.route.Idempotent,
 		RetriesHeld:      q.req.Confirmed != nil,
 	}
 	if q.route.Sharded() {
-		if q.route.TargetLatency > 0 {
-			p.AnswerBy = q.req.ReceivedAt.Add(q.route.TargetLatency - q.req.Transit - processingReserve)
-		}
+		p.AnswerBy = q.answerBy()
 	}
 	reachable := 0
 	for _, service := range q.services() {
@@ -85,7 +84,7 @@
 		p.Shards = append(p.Shards, sp)
 		q.shards = append(q.shards, sp.Shard)
 	}
-	if reachable == 0 || float64(reachable) < p.MinimumCoverage*float64(len(p.Shards)) {
+	if reachable == 0 || (q.req.Shards == nil && reachable < requiredShards(p.MinimumCoverage, len(p.Shards))) {
 		if delay := q.restDelay(now); delay > 0 {
 			return refusal{code: result.UpstreamShed, reason: "upstreams have asked for no requests", retryAfter: delay}
 		}
@@ -95,9 +94,33 @@
 	return refusal{}
 }
 
-// minCoverage returns the fraction of the shards that an answer must cover.
+// requiredShards returns the number of n shards that a fraction covers at least.
+func requiredShards(coverage float64, n int) int {
+	return int(math.Ceil(coverage * float64(n)))
+}
+
+// answerBy returns the time at which a query over shards is answered if enough of them have answered. It is zero if the
+// route has no target.
+func answerBy(req *Request, r *route.Route) time.Time {
+	if r.TargetLatency <= 0 {
+		return time.Time{}
+	}
+	return req.ReceivedAt.Add(r.TargetLatency - req.Transit - processingReserve)
+}
+
+// answerBy returns the time of the answer. A part has none, because only the VM that merges the parts knows whether
+// enough shards have answered.
+func (q *query) answerBy() time.Time {
+	if q.req.Shards != nil {
+		return time.Time{}
+	}
+	return answerBy(q.req, q.route)
+}
+
+// minCoverage returns the fraction of the shards that an answer must cover. A part waits for all of its shards, until the
+// VM that merges the parts cancels it.
 func (q *query) minCoverage() float64 {
-	if q.route.Sharded() {
+	if q.route.Sharded() && q.req.Shards == nil {
 		return q.route.MinCoverage
 	}
 	return 1
@@ -128,12 +151,26 @@
 }
 
 func (q *query) services() []string {
+	if q.req.Shards != nil {
+		return shardNames(q.route, q.req.Shards)
+	}
 	if q.route.Sharded() {
 		return q.route.Shards
 	}
 	return []string{q.vm.splitter.Next(q.route)}
 }
 
+// shardNames returns the shards at the given positions of the route. Positions that the route does not have are left out.
+func shardNames(r *route.Route, positions []int) []string {
+	names := make([]string, 0, len(positions))
+	for _, i := range positions {
+		if i >= 0 && i < len(r.Shards) {
+			names = append(names, r.Shards[i])
+		}
+	}
+	return names
+}
+
 func (q *query) shardPlan(now time.Time, service string) gather.ShardPlan {
 	return gather.ShardPlan{
 		Shard:         catalog.Shard{Name: service, Group: q.route.Name, Service: service},
@@ -170,8 +207,13 @@
 func (q *query) run(ctx context.Context) Answer {
 	q.apply(q.state.Start(time.Now()))
 	confirmed := q.req.Confirmed
+	progress := q.progressTimer()
+	defer progress.Stop()
 	for {
 		select {
+		case <-progress.C:
+			q.req.OnProgress(q.partialAnswer())
+			progress.Reset(progressInterval)
 		case <-q.done:
 			q.abandonAll()
 			return q.answer()
@@ -187,6 +229,15 @@
 	}
 }
 
+// progressTimer returns a timer that fires when the query is to be answered, if the merging VM wants to know the progress.
+func (q *query) progressTimer() *time.Timer {
+	at := answerBy(q.req, q.route)
+	if q.req.OnProgress == nil || at.IsZero() {
+		at = q.deadline.Add(time.Hour) // never
+	}
+	return time.NewTimer(time.Until(at))
+}
+
 // apply carries out a step of the state machine.
 func (q *query) apply(st gather.Step) {
 	for _, a := range st.Cancel {
@@ -396,8 +447,13 @@
 
 // eventFields returns the log fields common to all events of the query, followed by more.
 func (q *query) eventFields(more ...event.Field) []event.Field {
+	return requestFields(q.vm, q.req, q.cfg, q.route, more)
+}
+
+// requestFields returns the log fields common to all events of a request, followed by more.
+func requestFields(vm *VM, req *Request, cfg *route.Config, r *route.Route, more []event.Field) []event.Field {
 	return append([]event.Field{
-		event.F(event.RequestID, q.req.ID), event.F(event.Route, q.route.Name), event.F(event.Version, q.cfg.Version),
-		event.F(event.Age, q.vm.routes.Age(time.Now())), event.F(event.Elapsed, time.Since(q.req.ReceivedAt)),
+		event.F(event.RequestID, req.ID), event.F(event.Route, r.Name), event.F(event.Version, cfg.Version),
+		event.F(event.Age, vm.routes.Age(time.Now())), event.F(event.Elapsed, time.Since(req.ReceivedAt)),
 	}, more...)
 }
--- a/forward/vm.go
+++ b/forward/vm.go
@@ -141,12 +141,9 @@
 
 // Serve returns the answer to a request.
 func (vm *VM) Serve(ctx context.Context, req *Request) Answer {
-	cfg := vm.routes.Current()
-	if cfg == nil {
-		return vm.refuse(req, nil, 0, refusal{code: result.NotReady, reason: "no configuration yet"})
-	}
-	if cfg.Version < req.MinConfigVersion {
-		return vm.refuse(req, nil, cfg.Version, refusal{code: result.NotReady, reason: "the relaying VM has a newer configuration"})
+	cfg, denied := vm.config(req)
+	if denied.code != 0 {
+		return vm.refuse(req, nil, 0, denied)
 	}
 	r, ok := cfg.Match(req.Host, req.Path)
 	if !ok {
@@ -160,8 +157,8 @@
 		return vm.refuse(req, r, cfg.Version, denied)
 	}
 	defer vm.state.With(func(st *vmState) { st.inFlight-- })
-	if a, ok := vm.relayQuery(ctx, req, cfg, r); ok {
-		return a
+	if parts := vm.partition(req, r); len(parts) > 0 {
+		return newSplitQuery(vm, req, cfg, r, fingerprint, parts).run(ctx)
 	}
 	q := newQuery(vm, req, cfg, r, fingerprint)
 	if denied := q.plan(); denied.code != 0 {
@@ -170,24 +167,21 @@
 	return q.run(ctx)
 }
 
-// relayQuery sends a query over shards to another VM. It returns false if this VM has to answer it.
-func (vm *VM) relayQuery(ctx context.Context, req *Request, cfg *route.Config, r *route.Route) (Answer, bool) {
-	if vm.relay == nil || req.Relayed || !r.Sharded() {
-		return Answer{}, false
-	}
-	a, peer, ok := vm.relay.Relay(ctx, req, RelayLimits{MinConfigVersion: cfg.Version, Deadline: deadline(req, r), MaxAttempts: r.MaxAttempts})
-	if !ok {
-		return Answer{}, false
+// config returns the configuration that serves the request: the current one, or for a relayed request the one of the VM
+// that it came from.
+func (vm *VM) config(req *Request) (*route.Config, refusal) {
+	if !req.Relayed {
+		cfg := vm.routes.Current()
+		if cfg == nil {
+			return nil, refusal{code: result.NotReady, reason: "no configuration yet"}
+		}
+		return cfg, refusal{}
 	}
-	elapsed := time.Since(req.ReceivedAt)
-	if a.Code == result.Cancelled {
-		vm.stats.recordDisconnect()
-	} else {
-		vm.stats.recordRequest(r.Name, a.Code, elapsed)
+	cfg := vm.routes.Version(req.ConfigVersion)
+	if cfg == nil {
+		return nil, refusal{code: result.NotReady, reason: "the relaying VM has another configuration"}
 	}
-	vm.events.Record(event.QueryRelayed, event.F(event.RequestID, req.ID), event.F(event.Route, r.Name), event.F(event.Version, cfg.Version),
-		event.F(event.Peer, peer), event.F(event.Code, a.Code), event.F(event.CoveredShards, len(a.Stamps)), event.F(event.Elapsed, elapsed))
-	return a, true
+	return cfg, refusal{}
 }
 
 // admit counts a request as in flight, unless the VM is stopping or overloaded.
--- a/member/member.go
+++ b/member/member.go
@@ -58,9 +58,6 @@
 	// RecordDraining records that the upstream with the ID server, which started at the given time, has told another VM
 	// that it drains. It reports whether this was not known yet.
 	RecordDraining(server string, startedAt time.Time) bool
-	// HostingZones returns the zones that host replicas of the shards, from which aggregators are selected; it is empty if
-	// they are not known.
-	HostingZones() []string
 	// SaidDraining returns the upstreams that have said that they drain, for VMs that have just joined the tier.
 	SaidDraining() []route.Server
 }
@@ -162,7 +159,6 @@
 			m.events.Record(event.PeerLost, event.F(event.Peer, vm))
 		}
 	}
-	m.members.SetHostingZones(m.listener.HostingZones())
 	m.disconnectUnneeded(now)
 	m.publishTier(now)
 	m.updateFollowing(now)
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -26,7 +26,6 @@
 	members      []int
 	crashes      []string
 	draining     []string
-	hosting      []string
 	leaving      []route.Server
 	queries      []string
 	disconnected []string
@@ -78,9 +77,6 @@
 	return true
 }
 
-// HostingZones returns the zones of the script.
-func (s *scriptedVM) HostingZones() []string { return s.hosting }
-
 // SaidDraining returns the upstreams of the script.
 func (s *scriptedVM) SaidDraining() []route.Server { return s.leaving }
 
@@ -206,8 +202,6 @@
 		s.member.handle(now, from, &wire.Envelope{Kind: codec.KindDraining, UpstreamDraining: &wire.UpstreamDraining{Upstream: "i-3", StartedAt: time.UnixMilli(5)}})
 	case "knows": // that an upstream drains
 		s.leaving = append(s.leaving, route.Server{ID: "i-5", StartedAt: time.UnixMilli(7)})
-	case "hosting":
-		s.hosting = f[2:]
 	case "leaving": // seen by this VM
 		s.member.BroadcastDraining("i-4", time.UnixMilli(6))
 	case "tell":
--- a/relay/message.go
+++ b/relay/message.go
@@ -16,7 +16,8 @@
 	m := &wire.QueryForward{
 		ID: id, RequestID: req.ID, Method: req.Method, Target: req.Target, Host: req.Host, Header: []wire.HeaderLine{},
 		Body: append([]byte{}, req.Body...), Waited: now.Sub(req.ReceivedAt), Transit: req.Transit + hopTime,
-		Left: max(limits.Deadline.Sub(now)-hopTime, time.Millisecond), Version: limits.MinConfigVersion, Tried: req.PriorAttempts,
+		Left: max(limits.Deadline.Sub(now)-hopTime, time.Millisecond), Version: limits.ConfigVersion, Tried: req.PriorAttempts,
+		Shards: toBitmap(req.Shards),
 	}
 	for name, values := range req.Header {
 		for _, v := range values {
@@ -30,7 +31,8 @@
 func requestFromMessage(m *wire.QueryForward, now time.Time) *forward.Request {
 	req := &forward.Request{
 		ID: m.RequestID, Method: m.Method, Target: m.Target, Host: m.Host, Body: m.Body, Header: map[string][]string{},
-		ReceivedAt: now.Add(-m.Waited), Deadline: now.Add(m.Left), Transit: m.Transit, Relayed: true, MinConfigVersion: m.Version, PriorAttempts: m.Tried,
+		ReceivedAt: now.Add(-m.Waited), Deadline: now.Add(m.Left), Transit: m.Transit, Relayed: true, ConfigVersion: m.Version, PriorAttempts: m.Tried,
+		Shards: fromBitmap(m.Shards),
 	}
 	req.Path, _, _ = strings.Cut(m.Target, "?")
 	for _, h := range m.Header {
@@ -39,11 +41,38 @@
 	return req
 }
 
-// newResultMessage returns the message that carries the answer to the query with the given ID.
-func newResultMessage(id uint64, a forward.Answer) *wire.Envelope {
+// toBitmap returns the positions as a bitmap, which is shorter than the names of the shards.
+func toBitmap(positions []int) []byte {
+	var b []byte
+	for _, i := range positions {
+		for len(b) <= i/8 {
+			b = append(b, 0)
+		}
+		b[i/8] |= 1 << (i % 8)
+	}
+	return b
+}
+
+// fromBitmap returns the positions in a bitmap, in ascending order. It never returns nil, because a forwarded query is
+// always a part.
+func fromBitmap(b []byte) []int {
+	positions := []int{}
+	for i, bits := range b {
+		for j := range 8 {
+			if bits&(1<<j) != 0 {
+				positions = append(positions, 8*i+j)
+			}
+		}
+	}
+	return positions
+}
+
+// newResultMessage returns the message that carries the answer to the query with the given ID. If more is true, further
+// messages will follow it.
+func newResultMessage(id uint64, a forward.Answer, more bool) *wire.Envelope {
 	m := &wire.QueryResult{
 		ID: id, Code: int(a.Code), Records: append([]byte{}, a.Records...), Stamps: append([]string{}, a.Stamps...),
-		Missing: a.Missing, RetryAfter: a.RetryAfter,
+		Missing: a.Missing, RetryAfter: a.RetryAfter, More: more,
 	}
 	return &wire.Envelope{Kind: codec.KindQueryResult, QueryResult: m}
 }
--- a/relay/options.go
+++ b/relay/options.go
@@ -5,7 +5,7 @@
 const (
 	// hopTime is the time reserved for the round trip between two VMs, including encoding on a VM with a fifth of a
 	// core.
-	hopTime = 4 * time.Millisecond
+	hopTime = 8 * time.Millisecond
 
 	// acceptTimeout is the time within which an aggregator must accept a query. A VM that has used up its CPU quota
 	// is throttled for most of 100 ms, and a second run of the query costs one attempt at each shard.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -1,7 +1,7 @@
-// Package relay forwards queries to the aggregators of a large tier and answers the queries that other VMs forward.
+// Package relay forwards parts of queries to aggregators and answers the parts that other VMs forward.
 //
-// The aggregator accepts a query when it arrives, and the sender confirms that it relies on this aggregator alone for
-// the answer. A query that is not accepted in time may be forwarded to a second aggregator.
+// The aggregator accepts a part when it arrives, and the sender confirms that it relies on this aggregator alone for
+// the answer. A part that is not accepted in time is run by the sender.
 package relay
 
 import (
@@ -44,6 +44,7 @@
 	vm       netip.AddrPort
 	accepted chan struct{}
 	outcome  chan queryOutcome
+	progress func(a forward.Answer) // receives answers that are not final; may be nil
 }
 
 // queryOutcome is how a forwarded query has ended.
@@ -72,13 +73,23 @@
 	r.workers.Stop()
 }
 
-// Relay forwards the query to an aggregator, and to a second one if the first does not accept it. It returns the answer
-// and the aggregator that the query was last forwarded to, or false if this VM has to run the query itself.
-func (r *Relay) Relay(ctx context.Context, req *forward.Request, limits forward.RelayLimits) (forward.Answer, netip.AddrPort, bool) {
+// Zones returns the zones with an aggregator to which parts of queries can be forwarded.
+func (r *Relay) Zones(now time.Time) []string {
+	return r.aggregators.Zones(now)
+}
+
+// FansOut reports whether this VM may fan out parts itself.
+func (r *Relay) FansOut() bool {
+	return r.aggregators.FansOut()
+}
+
+// Relay forwards the part of a query to an aggregator of the zone, and to a second one if the first is not connected or
+// declines. It returns the answer and the aggregator that it comes from, or false if this VM has to run the part itself.
+func (r *Relay) Relay(ctx context.Context, req *forward.Request, zone string, limits forward.RelayLimits) (forward.Answer, netip.AddrPort, bool) {
 	var tried []netip.AddrPort
 	r.secondRuns.Credit(1)
-	for len(tried) < maxAggregators {
-		vm, ok := r.aggregators.Pick(time.Now(), tried)
+	for len(tried) < maxAggregators && req.PriorAttempts == 0 {
+		vm, ok := r.aggregators.Pick(time.Now(), zone, tried)
 		if !ok {
 			break
 		}
@@ -95,7 +106,7 @@
 // forwardTo forwards the query to one VM and waits for its answer. It returns false if another VM may run the query.
 func (r *Relay) forwardTo(ctx context.Context, vm netip.AddrPort, req *forward.Request, limits forward.RelayLimits) (forward.Answer, bool) {
 	id := r.nextID.Add(1)
-	q := &outgoingQuery{id: id, vm: vm, accepted: make(chan struct{}, 1), outcome: make(chan queryOutcome, 1)}
+	q := &outgoingQuery{id: id, vm: vm, accepted: make(chan struct{}, 1), outcome: make(chan queryOutcome, 1), progress: req.OnProgress}
 	r.mu.Lock()
 	r.outgoing[id] = q
 	r.mu.Unlock()
@@ -209,6 +220,17 @@
 	}
 }
 
+// receive handles a final answer, or one to which shards may still be added.
+func (q *outgoingQuery) receive(m *wire.QueryResult) {
+	a := answerFromMessage(m)
+	switch {
+	case !m.More:
+		q.finish(queryOutcome{answer: a})
+	case q.progress != nil:
+		q.progress(a)
+	}
+}
+
 // finish delivers the outcome of the query. Only the first call has an effect.
 func (q *outgoingQuery) finish(o queryOutcome) {
 	select {
@@ -231,7 +253,7 @@
 		}
 	case e.QueryResult != nil:
 		if q := r.findOutgoing(from, e.QueryResult.ID); q != nil {
-			q.finish(queryOutcome{answer: answerFromMessage(e.QueryResult)})
+			q.receive(e.QueryResult)
 		}
 	case e.QueryConfirm != nil:
 		r.mu.Lock()
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -69,6 +69,12 @@
 	case e.QueryConfirm != nil && behaviour == "answer":
 		s.relay.Receive(vm, answer(e.QueryConfirm.ID, result.Complete))
 		s.relay.Receive(vm, answer(e.QueryConfirm.ID, result.Late)) // a second answer must be ignored
+	case e.QueryConfirm != nil && behaviour == "partial":
+		for i := range 2 {
+			m := answer(e.QueryConfirm.ID, result.Partial)
+			m.QueryResult.More = i == 0
+			s.relay.Receive(vm, m)
+		}
 	case e.QueryConfirm != nil && behaviour == "lost":
 		s.relay.ConnectionLost(vm)
 	}
@@ -83,7 +89,7 @@
 	switch behaviour {
 	case "unconnected":
 		return false
-	case "answer", "lost", "slow":
+	case "answer", "partial", "lost", "slow":
 		s.relay.Receive(vm, &wire.Envelope{QueryAccept: &wire.QueryAccept{ID: id}})
 	case "not-ready":
 		s.relay.Receive(vm, answer(id, result.NotReady))
@@ -101,8 +107,11 @@
 // cancellation on one that ends in /hold.
 func (s *scriptedVM) Serve(ctx context.Context, req *forward.Request) forward.Answer {
 	s.mu.Lock()
-	s.served = append(s.served, fmt.Sprintf("%s %s of %s version %d %s", req.Method, req.Path, req.ID, req.MinConfigVersion, req.Header.Get("X-Kept")))
+	s.served = append(s.served, fmt.Sprintf("%s %s of %s shards %v version %d %s", req.Method, req.Path, req.ID, req.Shards, req.ConfigVersion, req.Header.Get("X-Kept")))
 	s.mu.Unlock()
+	if strings.HasSuffix(req.Path, "/progress") {
+		req.OnProgress(forward.Answer{Code: result.Partial, Sharded: true})
+	}
 	if strings.HasSuffix(req.Path, "/confirm") {
 		<-req.Confirmed
 	}
@@ -174,18 +183,24 @@
 	defer cancel()
 	now := time.Now()
 	req := &forward.Request{ID: "id", Method: http.MethodGet, Target: "/a/b", ReceivedAt: now, Deadline: now.Add(timeout)}
-	a, vm, ok := s.relay.Relay(ctx, req, forward.RelayLimits{MinConfigVersion: 7, Deadline: now.Add(timeout), MaxAttempts: s.attempts})
+	progress := 0
+	req.OnProgress = func(forward.Answer) { progress++ }
+	a, vm, ok := s.relay.Relay(ctx, req, "a", forward.RelayLimits{ConfigVersion: 7, Deadline: now.Add(timeout), MaxAttempts: s.attempts})
 	if !ok {
 		return fmt.Sprintf("not passed on, tried %d\n", req.PriorAttempts)
 	}
-	return fmt.Sprintf("%v by %v missing %d stamps %v, tried %d\n", a.Code, vm, a.Missing, a.Stamps, req.PriorAttempts)
+	out := fmt.Sprintf("%v by %v missing %d stamps %v, tried %d\n", a.Code, vm, a.Missing, a.Stamps, req.PriorAttempts)
+	if progress > 0 {
+		out += fmt.Sprintf("progress %d times\n", progress)
+	}
+	return out
 }
 
 // deliverQuery delivers a query of another VM to this one and waits for its end.
 func (s *scriptedVM) deliverQuery(t *testing.T, kind, path string) string {
 	from := netip.MustParseAddrPort("10.1.0.9:80")
 	m := &wire.QueryForward{
-		ID: 5, RequestID: "id", Method: http.MethodGet, Target: path + "?q=1", Left: time.Second, Version: 7,
+		ID: 5, RequestID: "id", Method: http.MethodGet, Target: path + "?q=1", Left: time.Second, Version: 7, Shards: []byte{0b101, 0, 0b10},
 		Header: []wire.HeaderLine{{Name: "X-Kept", Value: "kept"}},
 	}
 	s.relay.Receive(from, &wire.Envelope{QueryForward: m})
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -56,9 +56,10 @@
 	if ctx.Err() != nil {
 		return
 	}
+	req.OnProgress = func(a forward.Answer) { r.peers.Send(key.from, newResultMessage(key.id, a, true)) }
 	a := r.server.Serve(ctx, req)
 	if a.Code != result.Cancelled {
-		r.peers.Send(key.from, newResultMessage(key.id, a))
+		r.peers.Send(key.from, newResultMessage(key.id, a, false))
 	}
 }
 
--- a/replica/options.go
+++ b/replica/options.go
@@ -25,8 +25,9 @@
 	// failureCost is the cost of a certain failure in median latencies, because the retry starts after it.
 	failureCost = 6.0
 
-	// localZoneFactor scales the cost of a replica in the VM's own zone, which saves 2 ms and cross-zone traffic.
-	localZoneFactor = 0.85
+	// remoteZoneCost is added to the cost of a replica outside the VM's own zone, in median latencies. It stands for the
+	// way there and for the traffic between zones. It is less than what a replica costs that is busy, slow or failing.
+	remoteZoneCost = 1.0
 
 	// A replica is ejected after ejectThreshold consecutive connection failures. The ejection time doubles
 	// from minEjectTime to maxEjectTime.
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -83,20 +83,20 @@
 	return table.WithResult(t.state, func(st *state) bool { return len(st.services[service]) > 0 })
 }
 
-// ServicesByZone returns, for each zone, how many of the services have a replica listed there, whatever its state.
-func (t *Table) ServicesByZone(services map[string]bool) map[string]int {
-	return table.WithResult(t.state, func(st *state) map[string]int {
-		counts := map[string]int{}
-		for service := range services {
-			var zones []string
+// UsableZones returns, for each of the services, the zones with a replica that may receive a request now and is neither
+// ejected nor in a zone that does not answer.
+func (t *Table) UsableZones(now time.Time, services, regions []string) [][]string {
+	return table.WithResult(t.state, func(st *state) [][]string {
+		zones := make([][]string, len(services))
+		for i, service := range services {
 			for _, r := range st.services[service] {
-				if !slices.Contains(zones, r.server.Zone) {
-					zones = append(zones, r.server.Zone)
-					counts[r.server.Zone]++
+				zone := r.server.Zone
+				if st.eligible(now, r, regions) && !now.Before(r.ejectedUntil) && !st.unreachable(now, zone) && !slices.Contains(zones[i], zone) {
+					zones[i] = append(zones[i], zone)
 				}
 			}
 		}
-		return counts
+		return zones
 	})
 }
 
--- a/replica/state.go
+++ b/replica/state.go
@@ -127,8 +127,8 @@
 		return unusableCost
 	}
 	cost := r.cost(now)
-	if r.server.Zone == st.settings.Zone {
-		cost *= localZoneFactor
+	if r.server.Zone != st.settings.Zone {
+		cost += remoteZoneCost
 	}
 	if st.unreachable(now, r.server.Zone) {
 		cost += unreachableZoneCost
--- a/route/route.go
+++ b/route/route.go
@@ -62,7 +62,6 @@
 	Services     map[string]Service // by name
 	Limits       Limits
 	routesByHost map[string][]*Route // by host, longest prefix first
-	shards       map[string]bool     // services that hold a shard of some route
 }
 
 // NewConfig returns a configuration with the given routes, indexed by host.
@@ -73,7 +72,6 @@
 		Services:     make(map[string]Service, len(services)),
 		Limits:       limits,
 		routesByHost: map[string][]*Route{},
-		shards:       map[string]bool{},
 	}
 	for _, s := range services {
 		c.Services[s.Name] = s
@@ -81,9 +79,6 @@
 	for i := range routes {
 		r := &routes[i]
 		c.routesByHost[r.Host] = append(c.routesByHost[r.Host], r)
-		for _, service := range r.Shards {
-			c.shards[service] = true
-		}
 	}
 	for _, list := range c.routesByHost {
 		slices.SortStableFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
@@ -91,11 +86,6 @@
 	return c
 }
 
-// ShardServices returns the services that hold a shard of some route. The caller must not change the map.
-func (c *Config) ShardServices() map[string]bool {
-	return c.shards
-}
-
 // Match returns the route of the host with the longest prefix that matches the path. The host's port and case are
 // ignored.
 func (c *Config) Match(host, path string) (*Route, bool) {
--- a/route/store.go
+++ b/route/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"pistachioshore.dev/table"
@@ -14,10 +15,14 @@
 
 type storeState struct {
 	cfg        *Config
+	recent     []*Config // the current configuration and those before it, latest first
 	acceptedAt time.Time
 	evacuated  map[string]bool
 }
 
+// maxRecentConfigs is the number of configurations that are kept, including the current one.
+const maxRecentConfigs = 4
+
 // NewStore returns a store without a configuration.
 func NewStore() *Store {
 	return &Store{state: table.NewGuarded(table.RankCatalog, storeState{evacuated: map[string]bool{}})}
@@ -31,6 +36,8 @@
 			return false
 		}
 		st.cfg, st.acceptedAt = cfg, now
+		st.recent = slices.Insert(st.recent, 0, cfg)
+		st.recent = st.recent[:min(len(st.recent), maxRecentConfigs)]
 		return true
 	})
 }
@@ -40,6 +47,19 @@
 	return table.WithResult(s.state, func(st *storeState) *Config { return st.cfg })
 }
 
+// Version returns the configuration with the given version if it is the current one or among the last before it, and nil
+// otherwise. VMs that answer one query together use it, because they do not accept a new version at the same time.
+func (s *Store) Version(version uint64) *Config {
+	return table.WithResult(s.state, func(st *storeState) *Config {
+		for _, cfg := range st.recent {
+			if cfg.Version == version {
+				return cfg
+			}
+		}
+		return nil
+	})
+}
+
 // Age returns the time since the current configuration was accepted, or 0 if there is none.
 func (s *Store) Age(now time.Time) time.Duration {
 	return table.WithResult(s.state, func(st *storeState) time.Duration {
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -714,6 +714,9 @@
 	// RequestID corresponds to the JSON schema field "request-id".
 	RequestID string `json:"request-id"`
 
+	// Shards is a bitmap of the positions of the shards in the route's list.
+	Shards []byte `json:"shards"`
+
 	// Target corresponds to the JSON schema field "target".
 	Target string `json:"target"`
 
@@ -764,6 +767,9 @@
 	// Missing corresponds to the JSON schema field "missing".
 	Missing int `json:"missing"`
 
+	// More tells that further results with more shards will follow.
+	More bool `json:"more,omitempty,omitzero"`
+
 	// Records corresponds to the JSON schema field "records".
 	Records []byte `json:"records"`
 
