--- a/aggregator/memberlist.go
+++ b/aggregator/memberlist.go
@@ -169,6 +169,25 @@
 	return table.WithResult(l.state, func(s *memberList) bool { return s.shouldConnect(now, vm) })
 }
 
+// Zone returns the zone of a VM, if it is known.
+func (l *MemberList) Zone(vm netip.AddrPort) (string, bool) {
+	return table.WithResults(l.state, func(s *memberList) (string, bool) {
+		m, ok := s.members[vm]
+		if !ok || m.Zone == "" {
+			return "", false
+		}
+		return m.Zone, true
+	})
+}
+
+// IsIntroduced reports whether a VM was discovered so recently that it still learns about the tier.
+func (l *MemberList) IsIntroduced(now time.Time, vm netip.AddrPort) bool {
+	return table.WithResult(l.state, func(s *memberList) bool {
+		m, ok := s.members[vm]
+		return ok && m.introduced(now)
+	})
+}
+
 // LastSeen returns the time of the last heartbeat of the VM, received directly or reported by another VM. It is
 // zero if there was none.
 func (l *MemberList) LastSeen(vm netip.AddrPort) time.Time {
@@ -190,6 +209,10 @@
 	return m
 }
 
+func (m *member) introduced(now time.Time) bool {
+	return !m.discovered.IsZero() && now.Sub(m.discovered) < introductionPeriod
+}
+
 func (m *member) lastSeen() time.Time {
 	if m.indirectHeartbeat.After(m.heartbeat) {
 		return m.indirectHeartbeat
@@ -282,7 +305,7 @@
 	switch {
 	case len(aggregators) == 0:
 		return true
-	case ok && !m.discovered.IsZero() && now.Sub(m.discovered) < introductionPeriod:
+	case ok && m.introduced(now):
 		return true
 	case containsVM(aggregators, s.self.Address):
 		return containsVM(aggregators, vm) || (ok && now.Sub(m.heartbeat) < heartbeatTimeout)
--- a/forward/parts.go
+++ b/forward/parts.go
@@ -139,11 +139,11 @@
 	req := *s.req
 	req.Shards = p.shards
 	req.OnProgress = func(a Answer) { s.reportProgress(partUpdate{part: i, answer: a}) }
-	if p.zone != "" {
+	for _, zone := range s.relayZones(p) {
 		limits := RelayLimits{ConfigVersion: s.cfg.Version, Deadline: deadline(&req, s.route), MaxAttempts: s.route.MaxAttempts}
-		a, peer, ok := s.vm.relay.Relay(ctx, &req, p.zone, limits)
+		a, peer, ok := s.vm.relay.Relay(ctx, &req, zone, limits)
 		if ok {
-			s.recordRelayed(a, peer, p)
+			s.recordRelayed(a, peer, zone, p)
 			return a
 		}
 	}
@@ -154,8 +154,23 @@
 	return q.run(ctx)
 }
 
-func (s *splitQuery) recordRelayed(a Answer, peer netip.AddrPort, p part) {
-	s.vm.events.Record(event.QueryRelayed, s.eventFields(event.F(event.Peer, peer), event.F(event.Zone, p.zone), event.F(event.Code, a.Code),
+// relayZones returns the zones whose aggregators may fan out a part, in order. A VM that fans out no parts turns to its own
+// zone if the zone of the part does not accept it: the aggregators there have connections to the upstreams, and know
+// which zones do not answer.
+func (s *splitQuery) relayZones(p part) []string {
+	own := s.vm.settings.Zone
+	switch {
+	case p.zone == "":
+		return nil
+	case p.zone == own || s.vm.relay.FansOut():
+		return []string{p.zone}
+	default:
+		return []string{p.zone, own}
+	}
+}
+
+func (s *splitQuery) recordRelayed(a Answer, peer netip.AddrPort, zone string, p part) {
+	s.vm.events.Record(event.QueryRelayed, s.eventFields(event.F(event.Peer, peer), event.F(event.Zone, zone), event.F(event.Code, a.Code),
 		event.F(event.CoveredShards, len(a.Stamps)), event.F(event.Shards, len(p.shards)))...)
 }
 
--- a/member/links.go
+++ b/member/links.go
@@ -72,27 +72,62 @@
 	return h
 }
 
-// sendHeartbeats sends a heartbeat to all connected VMs.
+// sendHeartbeats sends a heartbeat to the connected VMs. VMs in other zones get every second one. The list of aggregators
+// goes to the VMs that have this aggregator as their primary one, to those that have just joined and to the other
+// aggregators.
 func (m *Member) sendHeartbeats(now time.Time) {
 	h := m.newHeartbeat(now)
+	toRemote := h.Leaving || m.isRemoteHeartbeat()
 	aggregators := m.members.Aggregators(now)
+	var plain, withList []netip.AddrPort
+	for _, vm := range m.connectedVMs() {
+		switch {
+		case !toRemote && m.isRemote(vm):
+		case m.needsAggregators(now, aggregators, vm):
+			withList = append(withList, vm)
+		default:
+			plain = append(plain, vm)
+		}
+	}
+	m.peers.SendAll(plain, &wire.Envelope{Kind: codec.KindHeartbeat, Heartbeat: h})
+	if len(withList) > 0 {
+		full := *h
+		full.Aggregators = m.toTierMembers(now, aggregators)
+		m.peers.SendAll(withList, &wire.Envelope{Kind: codec.KindHeartbeat, Heartbeat: &full})
+	}
+}
+
+// isRemoteHeartbeat counts a heartbeat and reports whether VMs in other zones get it.
+func (m *Member) isRemoteHeartbeat() bool {
+	return table.WithResult(m.peerState, func(s *peerState) bool {
+		s.heartbeats++
+		return (s.heartbeats-1)%remoteHeartbeatRatio == 0
+	})
+}
+
+// isRemote reports whether a VM is known to be in another zone.
+func (m *Member) isRemote(vm netip.AddrPort) bool {
+	zone, ok := m.members.Zone(vm)
+	return ok && zone != m.self.Zone
+}
+
+// needsAggregators reports whether a VM gets the list of aggregators from this one.
+func (m *Member) needsAggregators(now time.Time, aggregators []aggregator.VM, vm netip.AddrPort) bool {
 	isAggregator := func(vm netip.AddrPort) bool {
 		return slices.ContainsFunc(aggregators, func(a aggregator.VM) bool { return a.Address == vm })
 	}
-	connected := m.connectedVMs()
-	if !isAggregator(m.self.Address) { // aggregators learn about the others from one another
-		var connectedAggregators []netip.AddrPort
-		for _, vm := range connected {
-			if isAggregator(vm) {
-				connectedAggregators = append(connectedAggregators, vm)
-			}
-		}
-		m.peers.SendAll(connectedAggregators, &wire.Envelope{Kind: codec.KindHeartbeat, Heartbeat: h})
-		connected = slices.DeleteFunc(connected, isAggregator)
+	if len(aggregators) == 0 {
+		return false
+	}
+	if !isAggregator(m.self.Address) {
+		return !isAggregator(vm)
+	}
+	zone, ok := m.members.Zone(vm)
+	if !ok || isAggregator(vm) || m.members.IsIntroduced(now, vm) {
+		return true
 	}
-	full := *h
-	full.Aggregators = m.toTierMembers(now, aggregators)
-	m.peers.SendAll(connected, &wire.Envelope{Kind: codec.KindHeartbeat, Heartbeat: &full})
+	primary, _ := m.members.PrimaryAggregator(now, aggregator.VM{Address: vm, Zone: zone})
+	return primary == m.self.Address
 }
 
 // toTierMembers returns the wire form of the aggregators, with the time since each was last seen.
--- a/member/member.go
+++ b/member/member.go
@@ -81,6 +81,7 @@
 // peerState is the state of the exchange with other VMs.
 type peerState struct {
 	connected   map[netip.AddrPort]bool
+	heartbeats  uint64                 // heartbeats sent
 	lastRequest time.Time              // last request for the state of another VM
 	lastSource  time.Time              // last heartbeat of an aggregator that reads the platform
 	lastPrimary time.Time              // the same for this VM's primary aggregator
--- a/member/options.go
+++ b/member/options.go
@@ -21,6 +21,10 @@
 	sourceTimeout = 2500 * time.Millisecond
 )
 
+// remoteHeartbeatRatio is the number of heartbeats of which a VM in another zone gets one. They only have to keep the link
+// and the list of live aggregators, and bytes between zones cost more.
+const remoteHeartbeatRatio = 2
+
 // settings returns the intervals for a tier whose VMs own no upstreams. Membership determines only the shares of
 // limits, so infrequent heartbeats, which cost little, are sufficient.
 func settings() fleet.Settings {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -88,7 +88,8 @@
 func (r *Relay) Relay(ctx context.Context, req *forward.Request, zone string, limits forward.RelayLimits) (forward.Answer, netip.AddrPort, bool) {
 	var tried []netip.AddrPort
 	r.secondRuns.Credit(1)
-	for len(tried) < maxAggregators && req.PriorAttempts == 0 {
+	priorAttempts := req.PriorAttempts
+	for len(tried) < maxAggregators && req.PriorAttempts == priorAttempts {
 		vm, ok := r.aggregators.Pick(time.Now(), zone, tried)
 		if !ok {
 			break
