Report unreachable zones to the VMs whose queries an aggregator fans out

Heartbeats now carry the zones of which no upstream answers the sender. A VM that fans out nothing takes over those of its primary aggregator: it refuses queries that lack too many shards at once, as not run, and is not ready if a route cannot be served. Shards that no zone's aggregator covers go to an aggregator of the VM's own zone, which sees the silence. A query ends as soon as too few shards can still be covered.

--- a/forward/isolation.go
+++ b/forward/isolation.go
@@ -25,10 +25,20 @@
 			}
 		}
 	}
-	vm.recordIsolation(isolated, unreachable)
+	vm.recordIsolation(isolated, len(unreachable))
 	return isolated
 }
 
+// SilentZones returns the zones of which no upstream answers this VM, for the VMs whose queries it fans out.
+func (vm *VM) SilentZones(now time.Time) []string {
+	return vm.replicas.SilentZones(now)
+}
+
+// SetReportedZones sets the zones of which no upstream answers the VM that fans out this VM's queries.
+func (vm *VM) SetReportedZones(zones []string) {
+	vm.replicas.SetReportedZones(zones)
+}
+
 // canServe reports whether enough services of the route have a usable upstream.
 func (vm *VM) canServe(now time.Time, r *route.Route) bool {
 	if !r.Sharded() {
@@ -64,24 +74,25 @@
 }
 
 // recordIsolation records a change of the isolation state and starts health checks of unreachable zones.
-func (vm *VM) recordIsolation(isolated bool, unreachable []string) {
+func (vm *VM) recordIsolation(isolated bool, unreachable int) {
 	now := time.Now()
+	silent := vm.replicas.SilentZones(now) // other VMs check the zones that they report
 	changed, checkDue := false, false
 	vm.state.With(func(st *vmState) {
 		changed = st.isolated != isolated
 		st.isolated = isolated
-		checkDue = len(unreachable) > 0 && now.Sub(st.healthCheckedAt) >= healthCheckInterval
+		checkDue = len(silent) > 0 && now.Sub(st.healthCheckedAt) >= healthCheckInterval
 		if checkDue {
 			st.healthCheckedAt = now
 		}
 	})
 	if changed {
-		vm.events.Record(event.VMIsolated, event.F(event.State, isolated), event.F(event.Count, len(unreachable)))
+		vm.events.Record(event.VMIsolated, event.F(event.State, isolated), event.F(event.Count, unreachable))
 	}
 	if !checkDue {
 		return
 	}
-	for _, zone := range unreachable {
+	for _, zone := range silent {
 		vm.checkZone(now, zone)
 	}
 }
--- a/forward/partition.go
+++ b/forward/partition.go
@@ -29,7 +29,8 @@
 }
 
 // partition returns the parts of a query whose shards have usable replicas in the given zones. Shards that no aggregator
-// covers are in a part for this VM.
+// covers are in a part for this VM, or for an aggregator of its zone if it fans out nothing itself: that one has
+// connections to the upstreams.
 func (p partitioner) partition(zonesOfShards [][]string) []part {
 	var local, rest, direct []int
 	for i, zones := range zonesOfShards {
@@ -50,7 +51,11 @@
 		rest = uncovered
 	}
 	parts = append(parts, p.localParts(local, &direct)...)
-	if len(direct) > 0 {
+	switch {
+	case len(direct) == 0:
+	case !p.fansOut && slices.Contains(p.remote, p.zone):
+		parts = append(parts, chunks(p.zone, direct)...)
+	default:
 		parts = append(parts, part{shards: direct})
 	}
 	return parts
--- a/forward/parts.go
+++ b/forward/parts.go
@@ -44,13 +44,28 @@
 	}
 	rand.Shuffle(len(remote), func(i, j int) { remote[i], remote[j] = remote[j], remote[i] })
 	p := partitioner{zone: vm.settings.Zone, fansOut: vm.relay.FansOut(), remote: remote}
-	parts := p.partition(vm.replicas.UsableZones(now, r.Shards, r.Regions))
+	zones := vm.replicas.UsableZones(now, r.Shards, r.Regions)
+	if usable := len(zones) - countEmpty(zones); usable < requiredShards(r.MinCoverage, len(zones)) {
+		return nil // the plan of the whole query refuses it
+	}
+	parts := p.partition(zones)
 	if len(parts) == 1 && parts[0].zone == "" {
 		return nil
 	}
 	return parts
 }
 
+// countEmpty returns the number of empty lists.
+func countEmpty(lists [][]string) int {
+	n := 0
+	for _, l := range lists {
+		if len(l) == 0 {
+			n++
+		}
+	}
+	return n
+}
+
 func newSplitQuery(vm *VM, req *Request, cfg *route.Config, r *route.Route, fingerprint uint64, parts []part) *splitQuery {
 	return &splitQuery{vm: vm, req: req, cfg: cfg, route: r, fingerprint: fingerprint, parts: parts, updates: make(chan partUpdate, 2*len(parts))}
 }
@@ -97,12 +112,11 @@
 	deadlinePassed := time.NewTimer(time.Until(end))
 	defer deadlinePassed.Stop()
 	isDue := false
-	for pending := len(s.parts); pending > 0 && !(isDue && s.covered(answers) >= s.required()); {
+	final := make([]bool, len(s.parts))
+	for !s.ended(answers, final, isDue) {
 		select {
 		case u := <-s.updates:
-			if u.final {
-				pending--
-			}
+			final[u.part] = u.final
 			if u.final || len(u.answer.Stamps) > len(answers[u.part].Stamps) {
 				answers[u.part] = u.answer
 			}
@@ -119,6 +133,22 @@
 	return s.merge(answers)
 }
 
+// ended reports whether the query can be answered: when all parts are final, when enough shards are covered and the answer
+// is due, or when too few shards can still be covered.
+func (s *splitQuery) ended(answers []Answer, final []bool, isDue bool) bool {
+	possible, covered, pending := 0, 0, false
+	for i, a := range answers {
+		covered += len(a.Stamps)
+		if final[i] {
+			possible += len(a.Stamps)
+		} else {
+			possible += len(s.parts[i].shards)
+			pending = true
+		}
+	}
+	return !pending || possible < s.required() || (isDue && covered >= s.required())
+}
+
 // required returns the number of shards that an answer must cover.
 func (s *splitQuery) required() int {
 	return requiredShards(s.route.MinCoverage, len(s.route.Shards))
--- a/member/links.go
+++ b/member/links.go
@@ -65,6 +65,7 @@
 	h := codec.ToWireHeartbeat(m.fleet.NextHeartbeat(now, revision, 0, true))
 	h.Cursors, h.Fed = cursors, m.state.ReadsPlatform()
 	h.Cores = m.self.Cores
+	h.UnreachableZones = m.listener.SilentZones(now)
 	h.ZoneMembers = m.members.ZoneCount(now)
 	if len(m.members.Aggregators(now)) > 0 {
 		h.Heard = []wire.HeardPeer{} // in a large tier VMs need to know only the aggregators
--- a/member/member.go
+++ b/member/member.go
@@ -58,6 +58,10 @@
 	// RecordDraining records that the upstream with the ID server, which started at the given time, has told another VM
 	// that it drains. It reports whether this was not known yet.
 	RecordDraining(server string, startedAt time.Time) bool
+	// SilentZones returns the zones of which no upstream answers this VM.
+	SilentZones(now time.Time) []string
+	// SetReportedZones sets the zones of which no upstream answers the primary aggregator of this VM.
+	SetReportedZones(zones []string)
 	// SaidDraining returns the upstreams that have said that they drain, for VMs that have just joined the tier.
 	SaidDraining() []route.Server
 }
@@ -81,12 +85,14 @@
 // peerState is the state of the exchange with other VMs.
 type peerState struct {
 	connected   map[netip.AddrPort]bool
-	heartbeats  uint64                 // heartbeats sent
-	lastRequest time.Time              // last request for the state of another VM
-	lastSource  time.Time              // last heartbeat of an aggregator that reads the platform
-	lastPrimary time.Time              // the same for this VM's primary aggregator
-	behindSince time.Time              // time since which others have had a newer state; zero if none has
-	shares      aggregator.LimitShares // shares last passed to the listener
+	heartbeats  uint64    // heartbeats sent
+	lastRequest time.Time // last request for the state of another VM
+	lastSource  time.Time // last heartbeat of an aggregator that reads the platform
+	lastPrimary time.Time // the same for this VM's primary aggregator
+	// zonesReportedAt is the time of the last report of unreachable zones; zero if it no longer counts.
+	zonesReportedAt time.Time
+	behindSince     time.Time              // time since which others have had a newer state; zero if none has
+	shares          aggregator.LimitShares // shares last passed to the listener
 }
 
 var _ socket.Receiver = (*Member)(nil)
@@ -160,6 +166,7 @@
 			m.events.Record(event.PeerLost, event.F(event.Peer, vm))
 		}
 	}
+	m.expireReportedZones(now)
 	m.disconnectUnneeded(now)
 	m.publishTier(now)
 	m.updateFollowing(now)
@@ -219,6 +226,9 @@
 			}
 		})
 	}
+	if ok && from == primary {
+		m.handleReportedZones(now, h.UnreachableZones)
+	}
 	m.requestState(now, from, ok && from != primary, h.Cursors)
 }
 
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -26,6 +26,8 @@
 	members      []int
 	crashes      []string
 	draining     []string
+	silent       []string // zones that do not answer this VM
+	reported     []string // zones that do not answer its primary aggregator
 	leaving      []route.Server
 	queries      []string
 	disconnected []string
@@ -77,6 +79,17 @@
 	return true
 }
 
+// SilentZones returns the zones of the script.
+func (s *scriptedVM) SilentZones(time.Time) []string { return s.silent }
+
+// SetReportedZones records the zones.
+func (s *scriptedVM) SetReportedZones(zones []string) {
+	if !slices.Equal(zones, s.reported) {
+		s.shown = append(s.shown, fmt.Sprintf("reported zones %v", zones))
+	}
+	s.reported = zones
+}
+
 // SaidDraining returns the upstreams of the script.
 func (s *scriptedVM) SaidDraining() []route.Server { return s.leaving }
 
@@ -202,6 +215,9 @@
 		s.member.handle(now, from, &wire.Envelope{Kind: codec.KindDraining, UpstreamDraining: &wire.UpstreamDraining{Upstream: "i-3", StartedAt: time.UnixMilli(5)}})
 	case "knows": // that an upstream drains
 		s.leaving = append(s.leaving, route.Server{ID: "i-5", StartedAt: time.UnixMilli(7)})
+	case "cut": // an aggregator reports unreachable zones
+		h := &wire.Heartbeat{VM: from, Zone: "brest-nord", Incarnation: 5, Cores: 0.8, Heard: []wire.HeardPeer{}, UnreachableZones: f[3:]}
+		s.member.handle(now, from, &wire.Envelope{Kind: codec.KindHeartbeat, Heartbeat: h})
 	case "leaving": // seen by this VM
 		s.member.BroadcastDraining("i-4", time.UnixMilli(6))
 	case "tell":
--- a/member/state.go
+++ b/member/state.go
@@ -19,6 +19,31 @@
 	m.state.SetFollowing(following)
 }
 
+// handleReportedZones records the zones that the primary aggregator cannot reach. Its queries over shards go through the
+// aggregators of this VM's zone, so that this VM cannot see this itself. An aggregator relies on its own attempts.
+func (m *Member) handleReportedZones(now time.Time, zones []string) {
+	isAggregator := table.WithResult(m.peerState, func(s *peerState) bool { return s.shares.IsAggregator })
+	if isAggregator {
+		return
+	}
+	m.peerState.With(func(s *peerState) { s.zonesReportedAt = now })
+	m.listener.SetReportedZones(zones)
+}
+
+// expireReportedZones drops the unreachable zones that the primary aggregator reported, once it sends no heartbeats.
+func (m *Member) expireReportedZones(now time.Time) {
+	expired := false
+	m.peerState.With(func(s *peerState) {
+		expired = !s.zonesReportedAt.IsZero() && now.Sub(s.zonesReportedAt) >= sourceTimeout
+		if expired {
+			s.zonesReportedAt = time.Time{}
+		}
+	})
+	if expired {
+		m.listener.SetReportedZones(nil)
+	}
+}
+
 // NotifyFollowers immediately announces a change of the platform state to the VMs that have this one as their primary
 // aggregator.
 func (m *Member) NotifyFollowers(now time.Time) {
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -93,6 +93,12 @@
 			delays = append(delays, at.Sub(now))
 		}
 		return fmt.Sprintln("rests end after", delays)
+	case "report":
+		h.table.SetReportedZones(args)
+	case "silent":
+		return fmt.Sprintln("silent", h.table.SilentZones(now))
+	case "zones":
+		return fmt.Sprintln("usable in", h.table.UsableZones(now, args, nil))
 	case "cut":
 		return fmt.Sprintln("cut", h.table.UnreachableZones(now))
 	case "stalled":
--- a/replica/state.go
+++ b/replica/state.go
@@ -17,6 +17,8 @@
 	memberCount int
 	lastAttempt uint64
 	notices     notices
+	// reportedZones are the zones that the VM that fans out this VM's queries reports as unreachable.
+	reportedZones []string
 }
 
 func (st *state) put(now time.Time, s route.Server) {
--- a/replica/zone.go
+++ b/replica/zone.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"slices"
 	"time"
 
 	"pistachioshore.dev/table"
@@ -56,16 +57,28 @@
 	return z
 }
 
-// unreachable reports whether the zone is unreachable. The VM's own zone never is.
+// unreachable reports whether the zone is unreachable for this VM, or for the VM that fans out its queries. The VM's own
+// zone never is.
 func (st *state) unreachable(now time.Time, zone string) bool {
-	return zone != st.settings.Zone && st.zone(zone).unreachable(now)
+	return zone != st.settings.Zone && (st.zone(zone).unreachable(now) || slices.Contains(st.reportedZones, zone))
+}
+
+// silentZones returns the zones that are unreachable for this VM itself.
+func (st *state) silentZones(now time.Time) []string {
+	var zones []string
+	for name, z := range st.zones {
+		if name != st.settings.Zone && z.unreachable(now) {
+			zones = append(zones, name)
+		}
+	}
+	return zones
 }
 
 // unreachableZones returns the zones that are unreachable.
 func (st *state) unreachableZones(now time.Time) []string {
-	var zones []string
-	for name := range st.zones {
-		if st.unreachable(now, name) {
+	zones := st.silentZones(now)
+	for _, name := range st.reportedZones {
+		if name != st.settings.Zone && !slices.Contains(zones, name) {
 			zones = append(zones, name)
 		}
 	}
@@ -87,11 +100,21 @@
 	return "", false
 }
 
-// UnreachableZones returns the zones of which no replica answers.
+// UnreachableZones returns the zones of which no replica answers this VM, or the VM that fans out its queries.
 func (t *Table) UnreachableZones(now time.Time) []string {
 	return table.WithResult(t.state, func(st *state) []string { return st.unreachableZones(now) })
 }
 
+// SilentZones returns the zones of which no replica answers this VM itself.
+func (t *Table) SilentZones(now time.Time) []string {
+	return table.WithResult(t.state, func(st *state) []string { return st.silentZones(now) })
+}
+
+// SetReportedZones sets the zones of which no replica answers the VM that fans out this VM's queries.
+func (t *Table) SetReportedZones(zones []string) {
+	t.state.With(func(st *state) { st.reportedZones = zones })
+}
+
 // ProbeTarget returns a replica of the zone to send a health check to. It does not start an attempt, so EndAttempt must
 // not be called.
 func (t *Table) ProbeTarget(now time.Time, zone string) (AttemptHandle, bool) {
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -393,6 +393,9 @@
 	// Term corresponds to the JSON schema field "term".
 	Term uint64 `json:"term"`
 
+	// UnreachableZones are the zones of which no upstream answers the sender.
+	UnreachableZones []string `json:"unreachable-zones,omitempty,omitzero"`
+
 	// VM corresponds to the JSON schema field "vm".
 	VM netip.AddrPort `json:"vm"`
 
