Contain panics of workers, connections and store entries

A panic in a worker of the pool, in the reading of a connection or in the decoding of an entry ended the process. It now ends its request with a code that promises nothing, its connection as malformed, or its entry as rejected, and is logged with the stack and, where there is one, the request's fingerprint. Tables unlock by defer, so that no lock stays held. Without the handlers the new tests of pool, forward, http1 and platform end their test programs.

--- a/event/event.go
+++ b/event/event.go
@@ -41,6 +41,7 @@
 	PeerLost         // a VM that this one connects to stopped sending heartbeats
 	PeerFound        // a heartbeat of a new VM was received
 	ProcessPaused    // the process was suspended
+	Panic            // a task caused a panic, which ended its request, connection or call but not the process
 	LinesDropped     // log lines were dropped
 	Problem          // an unexpected condition that does not concern a single request
 
@@ -51,7 +52,7 @@
 	"none", "refused", "failed", "partial", "attempt", "hedged", "abandoned", "relayed", "relay-failed", "answered",
 	"started", "stopping", "stopped", "reloaded", "ready", "config-accepted", "config-rejected",
 	"zone-evacuated", "isolated", "server-changed", "entry-rejected", "upstream-draining", "upstream-resting", "crash-suspected", "store-lost", "store-regained", "following", "peer-lost", "peer-found",
-	"paused", "dropped", "problem",
+	"paused", "panic", "dropped", "problem",
 }
 
 // String returns the kind's name in log lines.
@@ -102,6 +103,7 @@
 	State         Key = "state"    // state of an upstream, or whether a condition holds
 
 	Fingerprint Key = "fingerprint" // hash of the content of a request
+	Stack       Key = "stack"       // stack of a panic
 )
 
 // Field is a key and value of a log line.
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -61,9 +61,14 @@
 	}
 	switch h.zones[zone] {
 	case "lacking", "late":
+		h.waitAnswered()
 		a.Code, a.Missing, a.Stamps = result.Partial, 1, a.Stamps[1:]
 	case "failed":
+		h.waitAnswered()
 		a = forward.Answer{Code: result.ConnectionLost, Sharded: true}
+	case "panic":
+		h.waitAnswered()
+		panic("fault of a relay")
 	case "tried":
 		req.PriorAttempts = l.MaxAttempts - 1
 		return forward.Answer{}, netip.AddrPort{}, false
@@ -78,6 +83,21 @@
 	return a, netip.AddrPort{}, true
 }
 
+// waitAnswered waits until the servers of this VM's own part have answered, so that the counts do not depend on which
+// part ends first.
+func (h *harness) waitAnswered() {
+	started := time.Now()
+	tick := time.NewTicker(time.Millisecond)
+	defer tick.Stop()
+	for range 1000 {
+		now := <-tick.C
+		answered := func(id string) bool { return h.replicas.AnsweredWithin(now, id, now.Sub(started)+time.Millisecond) }
+		if answered("a") && answered("b") && answered("c") {
+			return
+		}
+	}
+}
+
 // sender ends attempts by the behaviours of their servers. Each attempt uses the next behaviour in the list, and the
 // last one is used for all later attempts.
 type sender struct {
@@ -107,6 +127,10 @@
 	switch name {
 	case "answer":
 		res.Code, res.Outcome = result.Complete, replica.Succeeded
+	case "panic":
+		panic("fault of a sender")
+	case "faulty": // the result causes a panic when it is merged
+		res.Code, res.Outcome, res.Response = result.Complete, replica.Succeeded, nil
 	case "error":
 		res.Code, res.Outcome = result.UpstreamFailed, replica.Failed
 		res.Response.Status = 500
--- a/forward/parts.go
+++ b/forward/parts.go
@@ -164,7 +164,8 @@
 
 // servePart returns the final answer to a part: from an aggregator of its zone, or from this VM if there is none that
 // accepts it.
-func (s *splitQuery) servePart(ctx context.Context, i int) Answer {
+func (s *splitQuery) servePart(ctx context.Context, i int) (a Answer) {
+	defer s.vm.containPanic(s.req, &a)
 	p := s.parts[i]
 	req := *s.req
 	req.Shards = p.shards
--- a/forward/query.go
+++ b/forward/query.go
@@ -247,7 +247,7 @@
 		q.send(a)
 	}
 	if !st.WakeAt.IsZero() {
-		q.vm.timers.Schedule(st.WakeAt, func() { q.apply(q.state.Wake(time.Now())) })
+		q.vm.timers.Schedule(st.WakeAt, func() { q.contain(func() { q.apply(q.state.Wake(time.Now())) }) })
 	}
 	if st.Done {
 		q.doneOnce.Do(func() { close(q.done) })
@@ -260,7 +260,7 @@
 	service := q.cfg.Services[q.shards[a.Shard].Service]
 	handle, ok := q.vm.replicas.StartAttempt(now, a.Server, service)
 	if !ok {
-		q.vm.workers.Submit(func() { q.advance(a, AttemptResult{Code: result.UpstreamLeaving}, 0) })
+		q.vm.workers.Submit(func() { q.contain(func() { q.advance(a, AttemptResult{Code: result.UpstreamLeaving}, 0) }) })
 		return
 	}
 	q.recordAttempt(a, now)
@@ -273,7 +273,7 @@
 		Request: q.req, Server: handle.Server, MaxConnections: q.maxConnections(service), Deadline: q.deadline,
 		NotIdempotent: !q.route.Idempotent,
 	}, func(res AttemptResult) {
-		q.vm.workers.Submit(func() { q.handleResult(a, s, res) })
+		q.vm.workers.Submit(func() { q.contain(func() { q.handleResult(a, s, res) }) })
 	})
 	q.mu.Lock()
 	s.pending = p
--- a/forward/vm.go
+++ b/forward/vm.go
@@ -67,6 +67,7 @@
 		state:        table.NewGuarded(table.RankPending, vmState{shares: aggregator.LimitShares{Members: 1}}),
 	}
 	vm.workers = pool.New(s.Workers, func(task func()) { task() })
+	vm.workers.OnPanic(func(v any, stack []byte) { event.RecordPanic(events, v, stack) })
 	vm.timers = pool.NewTimers[func()](vm.workers)
 	vm.SetLimitShares(aggregator.LimitShares{Members: 1})
 	return vm
@@ -140,7 +141,8 @@
 }
 
 // Serve returns the answer to a request.
-func (vm *VM) Serve(ctx context.Context, req *Request) Answer {
+func (vm *VM) Serve(ctx context.Context, req *Request) (a Answer) {
+	defer vm.containPanic(req, &a)
 	cfg, denied := vm.config(req)
 	if denied.code != 0 {
 		return vm.refuse(req, nil, 0, denied)
@@ -149,7 +151,7 @@
 	if !ok {
 		return vm.refuse(req, nil, cfg.Version, refusal{code: result.UnknownRoute, reason: "no route for host and path"})
 	}
-	fingerprint := quarantine.Fingerprint(req.Method, nil, []string{req.Host, req.Target, string(req.Body)}, 0)
+	fingerprint := fingerprintOf(req)
 	if vm.crashTracker.Blocked(time.Now(), fingerprint) {
 		return vm.refuse(req, r, cfg.Version, refusal{code: result.Quarantined, reason: "upstreams crashed while running this request"})
 	}
@@ -167,6 +169,11 @@
 	return q.run(ctx)
 }
 
+// fingerprintOf returns a hash of what the request asks for.
+func fingerprintOf(req *Request) uint64 {
+	return quarantine.Fingerprint(req.Method, nil, []string{req.Host, req.Target, string(req.Body)}, 0)
+}
+
 // config returns the configuration that serves the request: the current one, or for a relayed request the one of the VM
 // that it came from.
 func (vm *VM) config(req *Request) (*route.Config, refusal) {
--- a/member/member.go
+++ b/member/member.go
@@ -111,6 +111,9 @@
 		peerState: table.NewGuarded(table.RankShutdown, peerState{connected: map[netip.AddrPort]bool{}}),
 	}
 	m.worker = pool.New(1, func(task func()) { task() })
+	m.worker.OnPanic(func(v any, stack []byte) {
+		event.RecordPanic(events, v, stack, event.F(event.Reason, "message from another VM"))
+	})
 	return m
 }
 
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -16,6 +16,7 @@
 	notEmpty *sync.Cond
 	tasks    []T
 	stopped  bool
+	onPanic  PanicHandler
 	workers  sync.WaitGroup
 }
 
@@ -31,6 +32,13 @@
 	return p
 }
 
+// OnPanic sets the handler of panics of later tasks. Without one, a panic ends the process.
+func (p *Pool[T]) OnPanic(h PanicHandler) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.onPanic = h
+}
+
 // Submit queues a task without blocking. It returns false if the pool has been stopped.
 func (p *Pool[T]) Submit(task T) bool {
 	p.mu.Lock()
@@ -61,15 +69,15 @@
 
 func (p *Pool[T]) workerLoop(run func(task T)) {
 	for {
-		task, ok := p.next()
+		task, onPanic, ok := p.next()
 		if !ok {
 			return
 		}
-		run(task)
+		onPanic.Run(func() { run(task) })
 	}
 }
 
-func (p *Pool[T]) next() (T, bool) {
+func (p *Pool[T]) next() (T, PanicHandler, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for len(p.tasks) == 0 && !p.stopped {
@@ -77,10 +85,10 @@
 	}
 	var zero T
 	if len(p.tasks) == 0 {
-		return zero, false
+		return zero, nil, false
 	}
 	task := p.tasks[0]
 	p.tasks[0] = zero
 	p.tasks = p.tasks[1:]
-	return task, true
+	return task, p.onPanic, true
 }
--- a/transport/http1/conn.go
+++ b/transport/http1/conn.go
@@ -86,8 +86,13 @@
 	return c.exchange
 }
 
-// readLoop reads responses until the connection ends.
+// readLoop reads responses until the connection ends. After a panic the pending exchange ends as malformed.
 func (c *conn) readLoop() {
+	c.pool.onPanic.Run(c.readResponses)
+	c.fail(MalformedResponse)
+}
+
+func (c *conn) readResponses() {
 	limited := &limitedReader{r: c.nc}
 	br := bufio.NewReaderSize(limited, readBufferSize)
 	for {
--- a/transport/http1/pool.go
+++ b/transport/http1/pool.go
@@ -16,6 +16,7 @@
 	dial    transport.DialFunc
 	workers *pool.Pool[func()]
 
+	onPanic     pool.PanicHandler
 	largeBodies chan struct{} // holds an element for each large body that is being read
 
 	mu     sync.Mutex
@@ -57,6 +58,13 @@
 	return p
 }
 
+// OnPanic sets the handler of panics while connections are opened, written or read. A panic closes its connection. It
+// must be called before the first call is started.
+func (p *Pool) OnPanic(h pool.PanicHandler) {
+	p.onPanic = h
+	p.workers.OnPanic(h)
+}
+
 // Start sends the call over an idle connection, or over a new one if fewer than maxConns are open to the
 // upstream; otherwise the call waits for a connection.
 func (p *Pool) Start(address netip.AddrPort, maxConns int, call *Call, done DoneFunc) *Exchange {
--- a/transport/http1/pool_test.go
+++ b/transport/http1/pool_test.go
@@ -349,3 +349,29 @@
 	}
 	p.Close()
 }
+
+// TestPanic guards against a fault in the handling of one response that ends the process, or that leaves its call without
+// an outcome.
+func TestPanic(t *testing.T) {
+	s := newBlockingServer(t)
+	p := New(nil)
+	panics := make(chan any, 1)
+	p.OnPanic(func(v any, _ []byte) { panics <- v })
+	done := make(chan Failure, 1)
+	s.answer <- struct{}{}
+	call := &Call{Method: "GET", Target: "/", Host: "h", MatchResponse: func(http.Header) bool { panic("fault") }}
+	p.Start(s.address, 1, call, func(_ Response, f Failure) { done <- f })
+	if got := <-done; got != MalformedResponse {
+		t.Errorf("got %v, want a malformed response", got)
+	}
+	if got := <-panics; got != "fault" {
+		t.Errorf("got the panic %v, want fault", got)
+	}
+	s.answer <- struct{}{}
+	p.Start(s.address, 1, &Call{Method: "GET", Target: "/", Host: "h"}, func(_ Response, f Failure) { done <- f })
+	if got := <-done; got != NoFailure {
+		t.Errorf("got %v, want a response to the next call", got)
+	}
+	p.Close()
+	_ = s.server.Close()
+}
