Hedge late retries in time and compute the hedge delay once per step

nextHedgeTime left out shards with more than one attempt, although a late retry is hedged when the query happens to wake up; and it asked for the delay of each shard after each result, which takes the lock of the estimator. It now uses the same condition as the hedge itself, and one delay per group. gather hedged-retry fails without it.

--- a/gather/attempts.go
+++ b/gather/attempts.go
@@ -86,9 +86,10 @@
 	if s.plan.NotIdempotent || s.plan.RetriesHeld {
 		return
 	}
+	delays := s.newHedgeDelays()
 	for i := range s.shards {
 		sh := &s.shards[i]
-		late, ok := s.lateAttempt(now, i)
+		late, ok := s.lateAttempt(now, i, delays)
 		if !ok || len(sh.attempts) >= s.plan.MaxAttempts || len(s.plan.Shards[i].Replicas) < 2 {
 			continue
 		}
@@ -104,38 +105,65 @@
 	}
 }
 
+// hedgeDelays remembers the hedge delay of each group during one step, because the estimate is the same for all shards of
+// a group.
+type hedgeDelays struct {
+	chooser Chooser
+	known   map[string]time.Duration
+}
+
+func (s *state[T]) newHedgeDelays() hedgeDelays {
+	return hedgeDelays{chooser: s.chooser, known: make(map[string]time.Duration, 1)}
+}
+
+// of returns the hedge delay of a group.
+func (d hedgeDelays) of(group string) time.Duration {
+	delay, ok := d.known[group]
+	if !ok {
+		delay = d.chooser.HedgeDelay(group)
+		d.known[group] = delay
+	}
+	return delay
+}
+
 // lateAttempt returns the shard's only attempt in flight if it exceeds the hedge delay and no hedge was sent.
-func (s *state[T]) lateAttempt(now time.Time, i int) (attempt, bool) {
-	sh := &s.shards[i]
-	if sh.resolved() || s.awaitingVerdict || (s.canaryShard >= 0 && s.canaryShard != i) {
+func (s *state[T]) lateAttempt(now time.Time, i int, delays hedgeDelays) (attempt, bool) {
+	if s.awaitingVerdict || (s.canaryShard >= 0 && s.canaryShard != i) {
 		return attempt{}, false
 	}
-	var pending []attempt
+	a, ok := s.shards[i].unhedged()
+	if !ok {
+		return attempt{}, false
+	}
+	return a, !now.Before(a.sentAt.Add(delays.of(s.plan.Shards[i].Shard.Group)))
+}
+
+// unhedged returns the shard's only attempt in flight, the first one or a retry, if no hedge was sent.
+func (sh *shard[T]) unhedged() (attempt, bool) {
+	var only attempt
+	pending := 0
 	for _, a := range sh.attempts {
 		if a.Hedge {
 			return attempt{}, false
 		}
 		if a.pending {
-			pending = append(pending, a)
+			only = a
+			pending++
 		}
 	}
-	if len(pending) != 1 {
-		return attempt{}, false
-	}
-	delay := s.chooser.HedgeDelay(s.plan.Shards[i].Shard.Group)
-	return pending[0], !now.Before(pending[0].sentAt.Add(delay))
+	return only, pending == 1 && !sh.resolved()
 }
 
 // nextHedgeTime returns the earliest time at which an attempt exceeds its hedge delay, or end if that is earlier.
 func (s *state[T]) nextHedgeTime(now, end time.Time) time.Time {
 	next := end
+	delays := s.newHedgeDelays()
 	for i := range s.shards {
-		sh := &s.shards[i]
-		if sh.resolved() || len(sh.attempts) != 1 {
+		a, ok := s.shards[i].unhedged()
+		if !ok || len(s.shards[i].attempts) >= s.plan.MaxAttempts {
 			continue
 		}
-		due := sh.attempts[0].sentAt.Add(s.chooser.HedgeDelay(s.plan.Shards[i].Shard.Group))
-		if due.After(now) {
+		if due := a.sentAt.Add(delays.of(s.plan.Shards[i].Shard.Group)); due.After(now) {
 			next = earlier(next, due)
 		}
 	}
