Apply changed seeds once, add up retry tokens, drop a limit without effect

After SIGHUP the seeds were applied again at the next reading of the settings file, and a failed reload was logged as reloaded. The metric of retry tokens showed only one of the two budgets of a service. maxRetryAfter was above every delay that it bounded.

--- a/event/event.go
+++ b/event/event.go
@@ -24,7 +24,7 @@
 	ProcessStarted
 	ProcessStopping
 	ProcessStopped
-	SettingsReloaded // the settings of the process were read again, or could not be read
+	SettingsReloaded // changed settings of the process are applied
 	ProcessReady     // the VM is ready to serve requests
 	ConfigAccepted   // a new configuration is in use
 	ConfigRejected   // a new configuration is invalid, and the VM keeps the last valid one
--- a/forward/options.go
+++ b/forward/options.go
@@ -41,7 +41,6 @@
 	// too few reachable upstreams. The load balancer takes up to 2 s to move the client to another VM.
 	unreachableRetryAfter = 400 * time.Millisecond
 
-	// minRetryAfter and maxRetryAfter bound the retry delay of other refused requests.
+	// minRetryAfter is the minimum, and a fifth of the maximum, of the retry delay of other refused requests.
 	minRetryAfter = 20 * time.Millisecond
-	maxRetryAfter = time.Second
 )
--- a/forward/vm.go
+++ b/forward/vm.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"math/rand/v2"
 	"time"
 
@@ -127,10 +126,13 @@
 	return vm.stats
 }
 
-// RetryBudgets returns the remaining tokens of each service. A retry or hedge costs one token.
+// RetryBudgets returns the remaining tokens of each service, for queries over shards and for other requests together. A
+// retry or hedge costs one token.
 func (vm *VM) RetryBudgets() map[string]float64 {
 	levels := vm.budgets.levels()
-	maps.Copy(levels, vm.shardBudgets.levels())
+	for service, level := range vm.shardBudgets.levels() {
+		levels[service] += level
+	}
 	return levels
 }
 
@@ -238,7 +240,6 @@
 	case result.Unreachable: // time for upstreams to recover or the load balancer to move the client
 		return unreachableRetryAfter + time.Duration(rand.Int64N(int64(unreachableRetryAfter)))
 	default:
-		jitter := time.Duration(rand.Int64N(int64(3 * minRetryAfter)))
-		return min(2*minRetryAfter+jitter, maxRetryAfter)
+		return 2*minRetryAfter + time.Duration(rand.Int64N(int64(3*minRetryAfter)))
 	}
 }
