--- a/standin/shard/shard.go
+++ b/standin/shard/shard.go
@@ -3,6 +3,8 @@
 package shard
 
 import (
+	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -24,15 +26,18 @@
 
 // Behaviours of a server.
 const (
-	Normal           Behaviour = ""       // executes the request and sends a signed response
-	Shedding         Behaviour = "shed"   // answers 503 without executing the request
-	Failing          Behaviour = "fail"   // executes the request and answers 500
-	DroppingResponse Behaviour = "lose"   // executes the request and closes the connection without a response
-	Hanging          Behaviour = "mute"   // executes the request and never responds
-	WrongInstance    Behaviour = "other"  // answers 421, as another server that took over the address
-	Unsigned         Behaviour = "unsign" // responds without a signature
-	Leaving          Behaviour = "leave"  // executes the request and says that it is about to leave
-	Resting          Behaviour = "rest"   // answers 503 without executing the request and asks for no more for a while
+	Normal           Behaviour = ""             // executes the request and sends a signed response
+	Shedding         Behaviour = "shed"         // answers 503 without executing the request
+	Failing          Behaviour = "fail"         // executes the request and answers 500
+	DroppingResponse Behaviour = "lose"         // executes the request and closes the connection without a response
+	Hanging          Behaviour = "mute"         // executes the request and never responds
+	WrongInstance    Behaviour = "other"        // answers 421, as another server that took over the address
+	Unsigned         Behaviour = "unsign"       // responds without a signature
+	Leaving          Behaviour = "leave"        // executes the request and says that it is about to leave
+	Resting          Behaviour = "rest"         // answers 503 without executing the request and asks for no more for a while
+	EndlessHead      Behaviour = "endless-head" // executes the request and sends a header that does not end
+	EndlessBody      Behaviour = "endless-body" // executes the request and sends a body that does not end
+	LateCopy         Behaviour = "copy"         // responds, and sends a copy of the response a little later
 )
 
 // RestTime is the time for which a server with the behaviour Resting asks for no requests.
@@ -189,6 +194,35 @@
 	s.respond(w, r, b, requestID)
 }
 
+// copyDelay is the time after which a server with the behaviour LateCopy sends the copy.
+const copyDelay = 100 * time.Millisecond
+
+// respondRaw writes a faulty response to the connection itself.
+func (s *Server) respondRaw(w http.ResponseWriter, b Behaviour, stamp, requestID string, record []byte) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return // the connection was closed
+	}
+	defer func() { _ = c.Close() }()
+	head := "HTTP/1.1 200 OK\r\nX-Pistachioshore-Request-Id: " + requestID + "\r\nX-Pistachioshore-Response-Stamp: " + stamp + "\r\n"
+	whole := fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(record), record)
+	filler := bytes.Repeat([]byte("x"), 1<<10)
+	switch b {
+	case EndlessHead:
+		_, err = io.WriteString(c, head+"X-Filler: ")
+	case EndlessBody:
+		_, err = io.WriteString(c, head+"\r\n")
+	case LateCopy:
+		_, _ = io.WriteString(c, whole) // fails only if the caller closed the connection
+		pool.Sleep(context.Background(), copyDelay)
+		_, _ = io.WriteString(c, whole)
+		return
+	}
+	for err == nil {
+		_, err = c.Write(filler) // until the caller closes the connection
+	}
+}
+
 // respond ends a request that was executed.
 func (s *Server) respond(w http.ResponseWriter, r *http.Request, b Behaviour, requestID string) {
 	record := Record(s.id, r.RequestURI)
@@ -198,6 +232,9 @@
 	case Hanging:
 		<-r.Context().Done()
 		return
+	case EndlessHead, EndlessBody, LateCopy:
+		s.respondRaw(w, b, Stamp(s.id, requestID, record), requestID, record)
+		return
 	case Unsigned:
 	case Leaving:
 		w.Header().Set("Server-Leaving", "1")
--- a/standin/soak/actions.go
+++ b/standin/soak/actions.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"syscall"
 	"time"
 
@@ -27,6 +28,27 @@
 // storeFaultKinds is the number of kinds, at the end of actionKinds, that make the store fail for all VMs.
 const storeFaultKinds = 4
 
+// oddEntry returns a value that no server writes.
+func (s *cluster) oddEntry(selector uint64) []byte {
+	list := []string{"not an entry"}
+	if s.extended {
+		list = append(list,
+			strings.Repeat("[", 100000),
+			strings.Repeat(`{"service":`, 20000),
+			`{"service":"jobs","address":"127.0.0.1:70000","zone":"`+zoneA+`","capacity":3,"state":"ready","sequence":1}`,
+			`{"service":"jobs","address":"127.0.0.1:80","zone":"`+zoneA+`","capacity":1e300,"state":"ready","sequence":1}`,
+			`{"service":"jobs","address":"127.0.0.1:80","zone":"`+zoneA+`","capacity":3,"state":"ready","sequence":1,"warmupLeftMs":1e300}`,
+			`{"service":"jobs","address":"[::1]:80","zone":"`+zoneA+`","capacity":3,"state":"ready","sequence":1}`,
+			"\xff\xfe\x00",
+		)
+	}
+	return []byte(list[selector%uint64(len(list))])
+}
+
+// firstExtendedSeed is the first seed that draws further behaviours of servers and odd entries. Earlier seeds keep their
+// meaning.
+const firstExtendedSeed = 1000
+
 // schedule draws the actions of a seed; they come in bursts and overlap. Even seeds draw no store faults, because
 // the bounds on how soon VMs apply a change are not checked for any VM during these.
 func schedule(seed uint64, length time.Duration) []action {
@@ -68,7 +90,7 @@
 	case "compact":
 		s.store.Compact()
 	case "noise":
-		s.store.Put("servers/noise", []byte("not an entry"))
+		s.store.Put("servers/noise", s.oddEntry(a.selector))
 	default:
 		live := s.liveServers()
 		s.runServerAction(a, live[a.selector%uint64(len(live))], until, done)
@@ -129,6 +151,9 @@
 		srv.proxy.resetConnections()
 	case "server-behave":
 		list := []shard.Behaviour{shard.Shedding, shard.Failing, shard.DroppingResponse, shard.Hanging, shard.Unsigned}
+		if s.extended {
+			list = append(list, shard.Resting, shard.EndlessHead, shard.EndlessBody, shard.LateCopy)
+		}
 		srv.SetBehaviour(list[a.selector/7%uint64(len(list))])
 		wait(a.duration, done)
 		srv.SetBehaviour(shard.Normal)
--- a/standin/soak/cluster.go
+++ b/standin/soak/cluster.go
@@ -19,6 +19,7 @@
 
 // cluster is a tier of VMs, each in its own process, with the store and the servers that they reach through proxies.
 type cluster struct {
+	extended       bool // further behaviours of servers and odd entries are drawn
 	store          *kv.Store
 	storeServer    *http.Server
 	storeAddress   netip.AddrPort
@@ -48,7 +49,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for the store")
 	}
-	s := &cluster{store: kv.New(), history: newHistory(), storeAddress: netip.MustParseAddrPort(l.Addr().String())}
+	s := &cluster{extended: set.Seed >= firstExtendedSeed, store: kv.New(), history: newHistory(), storeAddress: netip.MustParseAddrPort(l.Addr().String())}
 	s.storeServer = &http.Server{Handler: s.store}
 	go func() { _ = s.storeServer.Serve(l) }() // returns ErrServerClosed on close
 	for _, service := range services() {
