State the time left when an attempt is sent, not when it starts to wait

The attempts had waited up to half a second for a connection to a server, of which a VM of six may have four, and carried the time left when they began to wait. Since queries are split by zone, the VMs of a zone send most requests to its servers and wait more often. The header is now made when the request is written. TestSendHeader fails without it.

--- a/transport/http1/conn.go
+++ b/transport/http1/conn.go
@@ -53,7 +53,7 @@
 	}
 	c.exchange, c.requestWritten, c.responseRead = e, false, false
 	c.mu.Unlock()
-	if _, err := c.nc.Write(encodeRequest(e.call)); err != nil {
+	if _, err := c.nc.Write(encodeRequest(e.call, time.Now())); err != nil {
 		c.fail(ConnectionLost)
 		return
 	}
@@ -226,8 +226,8 @@
 	return 0
 }
 
-// encodeRequest returns the bytes of the request on the connection.
-func encodeRequest(call *Call) []byte {
+// encodeRequest returns the bytes of the request on the connection, when it is sent at now.
+func encodeRequest(call *Call, now time.Time) []byte {
 	b := make([]byte, 0, 256+len(call.Body))
 	b = append(b, call.Method...)
 	b = append(b, ' ')
@@ -237,6 +237,11 @@
 	for _, h := range call.Header {
 		b = appendHeader(b, h.Name, h.Value)
 	}
+	if call.SendHeader != nil {
+		for _, h := range call.SendHeader(now) {
+			b = appendHeader(b, h.Name, h.Value)
+		}
+	}
 	if len(call.Body) > 0 || (call.Method != http.MethodGet && call.Method != http.MethodHead) {
 		b = appendHeader(b, "Content-Length", strconv.Itoa(len(call.Body)))
 	}
--- a/transport/http1/http1.go
+++ b/transport/http1/http1.go
@@ -23,6 +23,9 @@
 	Host   string   // value of the Host header
 	Header []Header // further headers, without Content-Length
 	Body   []byte
+	// SendHeader, if not nil, returns headers whose values depend on the time at which the call is sent, which may be
+	// long after Start if it waits for a connection.
+	SendHeader func(now time.Time) []Header
 	// MaxIdleTime is the longest idle time of a connection that may carry the call; 0 for no limit. An upstream
 	// may drop an idle connection without notice, so a call that must not be lost sets a limit.
 	MaxIdleTime time.Duration
--- a/transport/http1/pool_test.go
+++ b/transport/http1/pool_test.go
@@ -292,6 +292,33 @@
 	_ = s.server.Close()
 }
 
+// TestSendHeader guards against headers that state the time at which a call was started, although it waited for a
+// connection before it was sent.
+func TestSendHeader(t *testing.T) {
+	s := newBlockingServer(t)
+	p := New(nil)
+	done := make(chan Failure, 2)
+	sentAt := make(chan time.Time, 2)
+	call := &Call{Method: "GET", Target: "/", Host: "h", SendHeader: func(now time.Time) []Header {
+		sentAt <- now
+		return nil
+	}}
+	for range 2 {
+		p.Start(s.address, 1, call, func(_ Response, f Failure) { done <- f })
+	}
+	<-sentAt
+	answered := time.Now()
+	s.answer <- struct{}{}
+	<-done
+	s.answer <- struct{}{}
+	<-done
+	if got := <-sentAt; got.Before(answered) {
+		t.Errorf("got the header of the second call made %v before the first was answered, want it made when it is sent", answered.Sub(got))
+	}
+	p.Close()
+	_ = s.server.Close()
+}
+
 // TestMaxIdleTime guards against a call that must not be lost and is sent on a connection that has been idle for
 // too long.
 func TestMaxIdleTime(t *testing.T) {
