Keep what a lost aggregator had reported in the answer

A part whose aggregator was lost after it had reported its progress replaced the reported shards by none. vm/relay.txt fails without the change.

--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -50,7 +50,7 @@
 func (h *harness) FansOut() bool { return !h.idle }
 
 // Relay ends a part as the script says: answered, lacking one shard, late (reports that one shard is missing, and never
-// ends), failed, tried (one attempt may have been made, and no answer comes) or none.
+// ends), broken (reports the same and is lost), failed, tried (one attempt may have been made, and no answer comes) or none.
 func (h *harness) Relay(ctx context.Context, req *forward.Request, zone string, l forward.RelayLimits) (forward.Answer, netip.AddrPort, bool) {
 	h.mu.Lock()
 	h.relayed = append(h.relayed, fmt.Sprint(zone, req.Shards))
@@ -60,7 +60,7 @@
 		a.Stamps = append(a.Stamps, fmt.Sprint(zone, "-", i))
 	}
 	switch h.zones[zone] {
-	case "lacking", "late":
+	case "lacking", "late", "broken":
 		h.waitAnswered()
 		a.Code, a.Missing, a.Stamps = result.Partial, 1, a.Stamps[1:]
 	case "failed":
@@ -75,6 +75,10 @@
 	case "none":
 		return forward.Answer{}, netip.AddrPort{}, false
 	}
+	if h.zones[zone] == "broken" {
+		req.OnProgress(a)
+		a = forward.Answer{Code: result.ConnectionLost, Sharded: true}
+	}
 	if h.zones[zone] == "late" {
 		req.OnProgress(a)
 		<-ctx.Done()
--- a/forward/parts.go
+++ b/forward/parts.go
@@ -117,7 +117,7 @@
 		select {
 		case u := <-s.updates:
 			final[u.part] = u.final
-			if u.final || len(u.answer.Stamps) > len(answers[u.part].Stamps) {
+			if len(u.answer.Stamps) >= len(answers[u.part].Stamps) { // what a lost aggregator had reported stays
 				answers[u.part] = u.answer
 			}
 		case <-due.C:
