Name the upstreams that a missing shard waited for, and log cancelled parts as such

It is now a line part-cancelled, and missing shards are followed by the servers and zones of the attempts in flight. Only logs and the count of clients that left change.

--- a/event/event.go
+++ b/event/event.go
@@ -17,6 +17,7 @@
 	AttemptFailed                    // an attempt ended without a successful answer
 	HedgeSent                        // a hedge was sent because the attempt in flight is slow
 	RequestAbandoned                 // the client disconnected before the answer
+	PartCancelled                    // a part of a query was cancelled, because the query was answered without its missing shards
 	QueryRelayed                     // another VM answered a query on behalf of this one
 	RelayFailed                      // another VM did not accept a query that was relayed to it
 	RequestAnswered                  // a request was answered in full
@@ -49,7 +50,7 @@
 )
 
 var kindNames = [kindCount]string{
-	"none", "refused", "failed", "partial", "attempt", "hedged", "abandoned", "relayed", "relay-failed", "answered",
+	"none", "refused", "failed", "partial", "attempt", "hedged", "abandoned", "part-cancelled", "relayed", "relay-failed", "answered",
 	"started", "stopping", "stopped", "reloaded", "ready", "config-accepted", "config-rejected",
 	"zone-evacuated", "isolated", "server-changed", "entry-rejected", "upstream-draining", "upstream-resting", "crash-suspected", "store-lost", "store-regained", "following", "peer-lost", "peer-found",
 	"paused", "panic", "dropped", "problem",
@@ -89,7 +90,7 @@
 	Elapsed       Key = "elapsed"  // time since the start of the request or attempt
 	Remaining     Key = "left"     // attempts beyond the first that the retry budget still allows
 	Delay         Key = "after"    // Retry-After, the delay of a hedge, the rest of an upstream, or the time until a removed server is dropped
-	MissingShards Key = "missing"  // shards missing from an answer, each with the reason
+	MissingShards Key = "missing"  // shards missing from an answer, each with the reason and the upstreams that it waited for
 	CoveredShards Key = "covered"  // number of shards in an answer
 	Shards        Key = "shards"   // number of shards of the route
 	InFlight      Key = "running"  // requests in flight at the VM
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -87,8 +87,8 @@
 // maxMissingLogged limits the missing shards that one log line names.
 const maxMissingLogged = 6
 
-// formatMissing formats the missing shards and their codes for the log.
-func formatMissing(list []gather.MissingShard) string {
+// formatMissing formats the missing shards for the log: each with its code, and the servers and zones that it waited for.
+func (q *query) formatMissing(list []gather.MissingShard) string {
 	var out strings.Builder
 	for i, m := range list {
 		if i == maxMissingLogged {
@@ -99,6 +99,9 @@
 			out.WriteByte(' ')
 		}
 		fmt.Fprintf(&out, "%s:%v", m.Shard.Service, m.Code)
+		if servers := q.late[m.Shard.Service]; len(servers) > 0 {
+			out.WriteString("@" + strings.Join(servers, "+"))
+		}
 	}
 	return out.String()
 }
@@ -137,7 +140,7 @@
 	fields := q.eventFields(event.F(event.Code, a.Code), event.F(event.CoveredShards, len(g.Covered)),
 		event.F(event.Shards, len(q.shards)), event.F(event.Number, extraAttempts))
 	if len(g.Missing) > 0 {
-		fields = append(fields, event.F(event.MissingShards, formatMissing(g.Missing)))
+		fields = append(fields, event.F(event.MissingShards, q.formatMissing(g.Missing)))
 	}
 	if a.RetryAfter > 0 {
 		fields = append(fields, event.F(event.Delay, a.RetryAfter))
--- a/forward/query.go
+++ b/forward/query.go
@@ -37,6 +37,7 @@
 	inFlight      map[attemptKey]*sentAttempt
 	errorResponse *Response // latest error response of an upstream
 	extraAttempts int
+	late          map[string][]string // servers and zones of the attempts that were in flight at the end, by service
 }
 
 type attemptKey struct {
@@ -221,14 +222,38 @@
 			confirmed = nil
 			q.apply(q.state.ReleaseRetries(time.Now()))
 		case <-ctx.Done():
+			q.recordLate()
 			q.cancelAll()
-			q.vm.stats.recordDisconnect()
-			q.vm.events.Record(event.RequestAbandoned, q.eventFields()...)
+			q.recordCancelled()
 			return Answer{Code: result.Cancelled}
 		}
 	}
 }
 
+// recordLate remembers which servers the query still waits for, so that the log names them.
+func (q *query) recordLate() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.late = map[string][]string{}
+	for key, s := range q.inFlight {
+		service := q.shards[key.shard].Service
+		q.late[service] = append(q.late[service], s.handle.Server.ID+"/"+s.handle.Server.Zone)
+	}
+}
+
+// recordCancelled logs a query whose answer is no longer needed: that of a client that has disconnected, or a part that
+// the merging VM no longer waits for.
+func (q *query) recordCancelled() {
+	if q.req.Shards == nil {
+		q.vm.stats.recordDisconnect()
+		q.vm.events.Record(event.RequestAbandoned, q.eventFields()...)
+		return
+	}
+	g := q.state.Answer()
+	q.vm.events.Record(event.PartCancelled, q.eventFields(event.F(event.CoveredShards, len(g.Covered)), event.F(event.Shards, len(q.shards)),
+		event.F(event.MissingShards, q.formatMissing(g.Missing)))...)
+}
+
 // progressTimer returns a timer that fires when the query is to be answered, if the merging VM wants to know the progress.
 func (q *query) progressTimer() *time.Timer {
 	at := answerBy(q.req, q.route)
@@ -240,6 +265,9 @@
 
 // apply carries out a step of the state machine.
 func (q *query) apply(st gather.Step) {
+	if st.Done {
+		q.recordLate()
+	}
 	for _, a := range st.Cancel {
 		q.abandon(a)
 	}
