--- a/member/member.go
+++ b/member/member.go
@@ -48,8 +48,17 @@
 	ConnectionLost(vm netip.AddrPort)
 }
 
-// Listener is notified of changes in the tier.
+// UpstreamView is what this VM has seen of the upstreams and tells other VMs.
+type UpstreamView interface {
+	// SilentZones returns the zones of which no upstream answers this VM.
+	SilentZones(now time.Time) []string
+	// SaidDraining returns the upstreams that have said that they drain, for VMs that have just joined the tier.
+	SaidDraining() []route.Server
+}
+
+// Listener is notified of changes in the tier and of what other VMs report about upstreams.
 type Listener interface {
+	UpstreamView
 	// SetLimitShares is called with each change in how the VMs share the limits of upstreams.
 	SetLimitShares(s aggregator.LimitShares)
 	// RecordCrash records a crash, reported by another VM, of the upstream with the ID server while it ran the request
@@ -58,12 +67,8 @@
 	// RecordDraining records that the upstream with the ID server, which started at the given time, has told another VM
 	// that it drains. It reports whether this was not known yet.
 	RecordDraining(server string, startedAt time.Time) bool
-	// SilentZones returns the zones of which no upstream answers this VM.
-	SilentZones(now time.Time) []string
 	// SetReportedZones sets the zones of which no upstream answers the primary aggregator of this VM.
 	SetReportedZones(zones []string)
-	// SaidDraining returns the upstreams that have said that they drain, for VMs that have just joined the tier.
-	SaidDraining() []route.Server
 }
 
 // Member represents this VM in the tier. It is safe for concurrent use.
