--- a/aggregator/aggregator.go
+++ b/aggregator/aggregator.go
@@ -71,8 +71,8 @@
 	})
 }
 
-// containsVM reports whether the VM with the given address is in the list.
-func containsVM(list []VM, address netip.AddrPort) bool {
+// Contains reports whether the VM with the given address is in the list.
+func Contains(list []VM, address netip.AddrPort) bool {
 	return slices.ContainsFunc(list, func(vm VM) bool { return vm.Address == address })
 }
 
@@ -106,7 +106,7 @@
 	t.state.With(func(s *tableState) {
 		s.aggregators = slices.Clone(aggregators)
 		for vm := range s.peers {
-			if !containsVM(aggregators, vm) {
+			if !Contains(aggregators, vm) {
 				delete(s.peers, vm)
 			}
 		}
@@ -116,7 +116,7 @@
 // FansOut reports whether this VM fans out queries: it is an aggregator, or knows none.
 func (t *Table) FansOut() bool {
 	return table.WithResult(t.state, func(s *tableState) bool {
-		return len(s.aggregators) == 0 || containsVM(s.aggregators, s.self.Address)
+		return len(s.aggregators) == 0 || Contains(s.aggregators, s.self.Address)
 	})
 }
 
--- a/aggregator/memberlist.go
+++ b/aggregator/memberlist.go
@@ -113,7 +113,7 @@
 		switch {
 		case len(aggregators) == 0:
 			return s.liveVMs(now)
-		case containsVM(aggregators, s.self.Address):
+		case Contains(aggregators, s.self.Address):
 			return aggregators
 		default:
 			return s.aggregatorLinks(aggregators)
@@ -307,10 +307,10 @@
 		return true
 	case ok && m.introduced(now):
 		return true
-	case containsVM(aggregators, s.self.Address):
-		return containsVM(aggregators, vm) || (ok && now.Sub(m.heartbeat) < heartbeatTimeout)
+	case Contains(aggregators, s.self.Address):
+		return Contains(aggregators, vm) || (ok && now.Sub(m.heartbeat) < heartbeatTimeout)
 	}
-	return containsVM(s.aggregatorLinks(aggregators), vm)
+	return Contains(s.aggregatorLinks(aggregators), vm)
 }
 
 // aggregatorLinks returns the aggregators to which a VM that is not an aggregator stays connected: all in its own zone,
--- a/member/links.go
+++ b/member/links.go
@@ -44,7 +44,7 @@
 	aggregators := m.members.Aggregators(now)
 	m.aggregators.SetAggregators(m.members.AggregatorLinks(now))
 	shares := aggregator.LimitShares{Members: m.members.Count(now), Aggregators: len(aggregators)}
-	shares.IsAggregator = slices.ContainsFunc(aggregators, func(vm aggregator.VM) bool { return vm.Address == m.self.Address })
+	shares.IsAggregator = aggregator.Contains(aggregators, m.self.Address)
 	changed := false
 	m.peerState.With(func(s *peerState) {
 		changed = shares != s.shares
@@ -114,17 +114,15 @@
 
 // needsAggregators reports whether a VM gets the list of aggregators from this one.
 func (m *Member) needsAggregators(now time.Time, aggregators []aggregator.VM, vm netip.AddrPort) bool {
-	isAggregator := func(vm netip.AddrPort) bool {
-		return slices.ContainsFunc(aggregators, func(a aggregator.VM) bool { return a.Address == vm })
-	}
 	if len(aggregators) == 0 {
 		return false
 	}
-	if !isAggregator(m.self.Address) {
-		return !isAggregator(vm)
+	isAggregator := aggregator.Contains(aggregators, vm)
+	if !aggregator.Contains(aggregators, m.self.Address) {
+		return !isAggregator
 	}
 	zone, ok := m.members.Zone(vm)
-	if !ok || isAggregator(vm) || m.members.IsIntroduced(now, vm) {
+	if !ok || isAggregator || m.members.IsIntroduced(now, vm) {
 		return true
 	}
 	primary, _ := m.members.PrimaryAggregator(now, aggregator.VM{Address: vm, Zone: zone})
