--- a/event/panic.go
+++ b/event/panic.go
@@ -10,3 +10,8 @@
 	}
 	r.Record(Panic, append([]Field{F(Error, value), F(Stack, string(stack))}, fields...)...)
 }
+
+// PanicHandler returns a function that records the panics that it is called with, with the same further fields.
+func PanicHandler(r Recorder, fields ...Field) func(value any, stack []byte) {
+	return func(value any, stack []byte) { RecordPanic(r, value, stack, fields...) }
+}
--- a/forward/vm.go
+++ b/forward/vm.go
@@ -66,7 +66,7 @@
 		state:        table.NewGuarded(table.RankPending, vmState{shares: aggregator.LimitShares{Members: 1}}),
 	}
 	vm.workers = pool.New(s.Workers, func(task func()) { task() })
-	vm.workers.OnPanic(func(v any, stack []byte) { event.RecordPanic(events, v, stack) })
+	vm.workers.OnPanic(event.PanicHandler(events))
 	vm.timers = pool.NewTimers[func()](vm.workers)
 	vm.SetLimitShares(aggregator.LimitShares{Members: 1})
 	return vm
--- a/member/member.go
+++ b/member/member.go
@@ -116,9 +116,7 @@
 		peerState: table.NewGuarded(table.RankShutdown, peerState{connected: map[netip.AddrPort]bool{}}),
 	}
 	m.worker = pool.New(1, func(task func()) { task() })
-	m.worker.OnPanic(func(v any, stack []byte) {
-		event.RecordPanic(events, v, stack, event.F(event.Reason, "message from another VM"))
-	})
+	m.worker.OnPanic(event.PanicHandler(events, event.F(event.Reason, "message from another VM")))
 	return m
 }
 
@@ -226,7 +224,7 @@
 		m.publishTier(now)
 	}
 	primary, ok := m.members.PrimaryAggregator(now, m.self)
-	if h.Fed && slices.ContainsFunc(m.members.Aggregators(now), func(a aggregator.VM) bool { return a.Address == from }) {
+	if h.Fed && aggregator.Contains(m.members.Aggregators(now), from) {
 		m.peerState.With(func(s *peerState) {
 			s.lastSource = now
 			if ok && from == primary {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -65,7 +65,7 @@
 	}
 	r.secondRuns.SetBurst(secondRunBurst)
 	r.workers = pool.New(workerCount, func(task func()) { task() })
-	r.workers.OnPanic(func(v any, stack []byte) { event.RecordPanic(events, v, stack) })
+	r.workers.OnPanic(event.PanicHandler(events))
 	return r
 }
 
