Count suspected crashes by their outcome, and name the request of a lost connection

Nothing told whether a request that ends upstream after upstream is not recognized, is forgotten, or is not known where it is sent. Lost connections are now logged with the fingerprint of their request, and the suspicions are counted by what the upstream did afterwards. Decisions are unchanged; the code of suspects moves to a file of its own.

--- a/forward/query.go
+++ b/forward/query.go
@@ -366,9 +366,15 @@
 		status = res.Response.Status
 	}
 	q.vm.stats.recordFailure(res.Code)
-	q.vm.events.Record(event.AttemptFailed, event.F(event.RequestID, q.req.ID), event.F(event.Service, q.shards[a.Shard].Service),
+	fields := []event.Field{
+		event.F(event.RequestID, q.req.ID), event.F(event.Service, q.shards[a.Shard].Service),
 		event.F(event.Server, a.Server), event.F(event.Number, a.Number), event.F(event.Code, res.Code),
-		event.F(event.Status, status), event.F(event.Reason, res.Detail), event.F(event.Elapsed, elapsed))
+		event.F(event.Status, status), event.F(event.Reason, res.Detail), event.F(event.Elapsed, elapsed),
+	}
+	if res.Code == result.ConnectionLost {
+		fields = append(fields, event.F(event.Fingerprint, q.fingerprint)) // links the losses of equal requests
+	}
+	q.vm.events.Record(event.AttemptFailed, fields...)
 }
 
 // abandon drops an attempt whose result is no longer needed.
@@ -442,7 +448,7 @@
 		Outcome: res.Outcome, Elapsed: elapsed, MedianLatency: vm.latency.Median(group), Load: res.Load, Fingerprint: q.fingerprint,
 	})
 	for _, fp := range crashed {
-		if vm.RecordCrash(fp, handle.Server.ID) {
+		if vm.recordCrash(fp, handle.Server.ID, "seen by this VM") {
 			vm.onCrash(fp, handle.Server.ID)
 		}
 	}
--- a/forward/vm.go
+++ b/forward/vm.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -100,17 +101,27 @@
 	vm.onCrash = notify
 }
 
-// RecordCrash records that the upstream with the ID server seems to have crashed while running the request with the
-// given fingerprint, as observed by this VM or reported by another one. It reports whether the crash was not known
-// before.
+// RecordCrash records the report of another VM that the upstream with the ID server seems to have crashed while running
+// the request with the given fingerprint. It reports whether the crash was not known before.
 func (vm *VM) RecordCrash(fingerprint uint64, server string) bool {
+	return vm.recordCrash(fingerprint, server, "reported by another VM")
+}
+
+// recordCrash records a crash and how it was learned of.
+func (vm *VM) recordCrash(fingerprint uint64, server, source string) bool {
 	if !vm.crashTracker.RecordCrash(time.Now(), fingerprint, server) {
 		return false
 	}
-	vm.events.Record(event.CrashSuspected, event.F(event.Fingerprint, fingerprint), event.F(event.Server, server))
+	vm.events.Record(event.CrashSuspected, event.F(event.Fingerprint, fingerprint), event.F(event.Server, server), event.F(event.Reason, source))
 	return true
 }
 
+// BlockedRequests returns the number of requests, counted by content, that this VM refuses because they have crashed
+// upstreams.
+func (vm *VM) BlockedRequests(now time.Time) int {
+	return vm.crashTracker.BlockedCount(now)
+}
+
 // RefuseNew makes the VM refuse new requests as not run. Requests in flight continue.
 func (vm *VM) RefuseNew() {
 	vm.state.With(func(st *vmState) { st.refusing = true })
@@ -155,7 +166,7 @@
 	}
 	fingerprint := fingerprintOf(req)
 	if vm.crashTracker.Blocked(time.Now(), fingerprint) {
-		return vm.refuse(req, r, cfg.Version, refusal{code: result.Quarantined, reason: "upstreams crashed while running this request"})
+		return vm.refuse(req, r, cfg.Version, refusal{code: result.Quarantined, reason: fmt.Sprintf("upstreams crashed while running this request, fingerprint %d", fingerprint)})
 	}
 	if denied := vm.admit(); denied.code != 0 {
 		return vm.refuse(req, r, cfg.Version, denied)
--- a/quarantine/crashtracker.go
+++ b/quarantine/crashtracker.go
@@ -76,3 +76,16 @@
 		return ok && len(upstreams) >= c.settings.CrashThreshold
 	})
 }
+
+// BlockedCount returns the number of requests that must not run.
+func (c *CrashTracker) BlockedCount(now time.Time) int {
+	return table.WithResult(c.state, func(st *crashTracker) int {
+		n := 0
+		st.crashed.Each(now, func(_ uint64, upstreams map[string]bool) {
+			if len(upstreams) >= c.settings.CrashThreshold {
+				n++
+			}
+		})
+		return n
+	})
+}
--- a/replica/stat.go
+++ b/replica/stat.go
@@ -31,12 +31,6 @@
 	ejectedUntil       time.Time
 }
 
-// crashSuspect is a request that may have crashed the upstream.
-type crashSuspect struct {
-	fingerprint uint64
-	lostAt      time.Time
-}
-
 type pendingAttempt struct {
 	number    uint64
 	startedAt time.Time
@@ -101,7 +95,7 @@
 	return cost
 }
 
-func (r *replica) endAttempt(now time.Time, number uint64, res Result) []uint64 {
+func (r *replica) endAttempt(now time.Time, number uint64, res Result, n *CrashSuspicions) []uint64 {
 	r.pending = slices.DeleteFunc(r.pending, func(p pendingAttempt) bool { return p.number == number })
 	if res.Load != nil {
 		r.load, r.loadReportedAt = *res.Load, now
@@ -113,7 +107,7 @@
 	case Succeeded:
 		r.connectionFailures, r.ejections = 0, 0
 		r.answeredAt = now
-		r.crashSuspects = nil
+		r.dismissCrashSuspects(n)
 		r.ejectedUntil = time.Time{}
 		r.observe(now, res, 0)
 	case Abandoned:
@@ -124,29 +118,17 @@
 	case ConnectionLost:
 		r.observeFailure(now)
 		r.recordConnectionFailure(now)
-		r.crashSuspects = append(r.crashSuspects, crashSuspect{res.Fingerprint, now})
+		r.suspectCrash(now, res.Fingerprint, n)
 	case ConnectionRefused:
 		r.observeFailure(now)
 		r.recordConnectionFailure(now)
-		return r.takeCrashSuspects(now)
+		return r.takeCrashSuspects(now, n)
 	case WrongInstance:
 		r.wrongInstance = true
 	}
 	return nil
 }
 
-// takeCrashSuspects returns and clears the fingerprints of the requests that may have crashed the upstream.
-func (r *replica) takeCrashSuspects(now time.Time) []uint64 {
-	var list []uint64
-	for _, s := range r.crashSuspects {
-		if now.Sub(s.lostAt) <= crashWindow {
-			list = append(list, s.fingerprint)
-		}
-	}
-	r.crashSuspects = nil
-	return list
-}
-
 // observationWeight is the weight of a new observation in the moving averages.
 const observationWeight = 0.3
 
--- a/replica/state.go
+++ b/replica/state.go
@@ -17,6 +17,7 @@
 	memberCount int
 	lastAttempt uint64
 	notices     notices
+	suspicions  CrashSuspicions
 	// reportedZones are the zones that the VM that fans out this VM's queries reports as unreachable.
 	reportedZones []string
 }
@@ -169,7 +170,7 @@
 	if h.replica == nil {
 		return nil
 	}
-	crashed := h.replica.endAttempt(now, h.number, res)
+	crashed := h.replica.endAttempt(now, h.number, res, &st.suspicions)
 	switch res.Outcome {
 	case Succeeded, Failed, Shed, WrongInstance:
 		st.zone(h.Server.Zone).recordAnswer()
