Probe an upstream after a lost connection to see whether it has crashed

What callers saw: a request that stops each upstream that runs it was sent on to one upstream after the other. Other callers' requests met upstreams that had just ended.

Cause: a crash counted only if the VM that had lost the connection was refused another one by the same upstream within 2 s. Nothing asked for that connection but later requests, and a VM sends few to one upstream and avoids one that has failed. An answer that an upstream had sent before it crashed, and that was processed after the loss, cleared the suspicion too.

Now the VM that loses a connection opens one 20 ms later, at most one for each upstream at a time, and keeps it for later requests. An idle connection that is still open answers without a new one. A refusal confirms the suspicion, a connection dismisses what came before it. An answer dismisses only what came before its request.

platform path/crash.txt fails without this: the fourth to sixth order get 502 and end an upstream each. replica crash.txt and http1 probe.txt play the probe.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -88,6 +88,9 @@
 	// CheckHealth sends a health check, a GET request for the path, to an upstream. It calls done with whether any
 	// response arrived.
 	CheckHealth(s route.Server, path string, done func(answered bool))
+	// Probe tells whether an upstream, to which at most maxConnections may be open, accepts connections. It sends no
+	// request. It calls done once, which must not block.
+	Probe(s route.Server, maxConnections int, done func(res replica.ProbeResult))
 }
 
 // Answer is the answer to a client request. Code determines which other fields are set.
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -158,6 +158,17 @@
 	done(true)
 }
 
+// Probe reports that the server has crashed if its next behaviour is to refuse, and otherwise that it accepts connections.
+func (s *sender) Probe(server route.Server, _ int, done func(replica.ProbeResult)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if b := s.behaviours[server.ID]; len(b) > 0 && b[0] == "refuse" {
+		done(replica.ProbeRefused)
+		return
+	}
+	done(replica.ProbeAccepted)
+}
+
 type pendingAttempt struct {
 	s *sender
 }
--- a/forward/options.go
+++ b/forward/options.go
@@ -27,6 +27,10 @@
 	// abandonGrace is how long an abandoned attempt may take to end before its connection is closed.
 	abandonGrace = 5 * time.Millisecond
 
+	// crashProbeDelay is the time between the loss of a connection and the probe of its upstream. A process that ends
+	// closes its connections and its listener one after the other.
+	crashProbeDelay = 20 * time.Millisecond
+
 	// retryBudgetUtilization is the part of the retry budget that the VM uses. The rest covers requests it
 	// cannot count, such as those received by a process that was killed.
 	retryBudgetUtilization = 0.85
--- a/forward/query.go
+++ b/forward/query.go
@@ -447,10 +447,9 @@
 	crashed := vm.replicas.EndAttempt(now, handle, replica.Result{
 		Outcome: res.Outcome, Elapsed: elapsed, MedianLatency: vm.latency.Median(group), Load: res.Load, Fingerprint: q.fingerprint,
 	})
-	for _, fp := range crashed {
-		if vm.recordCrash(fp, handle.Server.ID, "seen by this VM") {
-			vm.onCrash(fp, handle.Server.ID)
-		}
+	vm.reportCrashes(crashed, handle.Server.ID)
+	if res.Outcome == replica.ConnectionLost {
+		vm.probeAfterLoss(now, handle, q.maxConnections(q.cfg.Services[handle.Server.Service]))
 	}
 	if res.Outcome == replica.Succeeded {
 		vm.crashTracker.RecordSuccess(now, q.fingerprint)
--- a/forward/vm.go
+++ b/forward/vm.go
@@ -101,27 +101,6 @@
 	vm.onCrash = notify
 }
 
-// RecordCrash records the report of another VM that the upstream with the ID server seems to have crashed while running
-// the request with the given fingerprint. It reports whether the crash was not known before.
-func (vm *VM) RecordCrash(fingerprint uint64, server string) bool {
-	return vm.recordCrash(fingerprint, server, "reported by another VM")
-}
-
-// recordCrash records a crash and how it was learned of.
-func (vm *VM) recordCrash(fingerprint uint64, server, source string) bool {
-	if !vm.crashTracker.RecordCrash(time.Now(), fingerprint, server) {
-		return false
-	}
-	vm.events.Record(event.CrashSuspected, event.F(event.Fingerprint, fingerprint), event.F(event.Server, server), event.F(event.Reason, source))
-	return true
-}
-
-// BlockedRequests returns the number of requests, counted by content, that this VM refuses because they have crashed
-// upstreams.
-func (vm *VM) BlockedRequests(now time.Time) int {
-	return vm.crashTracker.BlockedCount(now)
-}
-
 // RefuseNew makes the VM refuse new requests as not run. Requests in flight continue.
 func (vm *VM) RefuseNew() {
 	vm.state.With(func(st *vmState) { st.refusing = true })
--- a/replica/crash.go
+++ b/replica/crash.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"slices"
 	"time"
 
 	"pistachioshore.dev/table"
@@ -17,7 +18,7 @@
 type CrashSuspicions struct {
 	Recorded  uint64 // connections lost with a request in flight
 	Confirmed uint64 // the upstream then refused a connection
-	Dismissed uint64 // the upstream then answered
+	Dismissed uint64 // the upstream then answered, or accepted a connection
 }
 
 // CrashSuspicions returns the counts since the start of the process.
@@ -31,10 +32,52 @@
 	n.Recorded++
 }
 
-// dismissCrashSuspects clears the suspects, because the upstream has answered.
-func (r *replica) dismissCrashSuspects(n *CrashSuspicions) {
-	n.Dismissed += uint64(len(r.crashSuspects))
-	r.crashSuspects = nil
+// ProbeResult is the result of a probe, which tries to open a connection to an upstream.
+type ProbeResult uint8
+
+// Results of a probe.
+const (
+	ProbeUndecided ProbeResult = iota // no connection was tried
+	ProbeAccepted                     // the upstream accepts connections
+	ProbeRefused                      // no connection could be opened
+)
+
+// StartProbe reports whether the upstream is to be probed at the given time, to find out whether it has crashed. That is
+// so once a connection to it was lost with a request in flight, unless a probe is due already or the upstream has asked
+// for a rest. If it is so, the caller must call EndProbe.
+func (t *Table) StartProbe(at time.Time, h AttemptHandle) bool {
+	return table.WithResult(t.state, func(*state) bool {
+		r := h.replica
+		due := r != nil && len(r.crashSuspects) > 0 && r.probeAt.IsZero() && !r.resting(at)
+		if due {
+			r.probeAt = at
+		}
+		return due
+	})
+}
+
+// EndProbe records the result of a probe. If the upstream has crashed, it returns the fingerprints of the requests that
+// may have caused the crash.
+func (t *Table) EndProbe(now time.Time, h AttemptHandle, res ProbeResult) []uint64 {
+	return table.WithResult(t.state, func(st *state) []uint64 {
+		r := h.replica
+		probedAt := r.probeAt
+		r.probeAt = time.Time{}
+		switch res {
+		case ProbeRefused:
+			return r.takeCrashSuspects(now, &st.suspicions)
+		case ProbeAccepted:
+			r.dismissCrashSuspects(probedAt, &st.suspicions)
+		}
+		return nil
+	})
+}
+
+// dismissCrashSuspects clears the suspects from before the given time, because the upstream has responded since.
+func (r *replica) dismissCrashSuspects(before time.Time, n *CrashSuspicions) {
+	all := len(r.crashSuspects)
+	r.crashSuspects = slices.DeleteFunc(r.crashSuspects, func(s crashSuspect) bool { return s.lostAt.Before(before) })
+	n.Dismissed += uint64(all - len(r.crashSuspects))
 }
 
 // takeCrashSuspects returns and clears the fingerprints of the requests that may have crashed the upstream.
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -101,6 +101,14 @@
 		return fmt.Sprintln("usable in", h.table.UsableZones(now, args, nil))
 	case "cut":
 		return fmt.Sprintln("cut", h.table.UnreachableZones(now))
+	case "probe": // args[0] names an attempt at the replica
+		return fmt.Sprintln("probe due", h.table.StartProbe(now, h.handles[args[0]]))
+	case "probed":
+		if crashed := h.table.EndProbe(now, h.handles[args[0]], probeResults[args[1]]); len(crashed) > 0 {
+			return fmt.Sprintln("crashed under", crashed)
+		}
+	case "suspicions":
+		return fmt.Sprintf("%+v\n", h.table.CrashSuspicions())
 	case "stalled":
 		return fmt.Sprintln("stalled", h.table.Stalled(now, args[0]))
 	default:
@@ -165,6 +173,10 @@
 	"refused": replica.ConnectionRefused, "withdrawn": replica.Abandoned, "misplaced": replica.WrongInstance,
 }
 
+var probeResults = map[string]replica.ProbeResult{
+	"accepted": replica.ProbeAccepted, "refused": replica.ProbeRefused, "undecided": replica.ProbeUndecided,
+}
+
 // end ends an attempt. The arguments are its name, outcome, elapsed time in ms and fingerprint.
 func (h *harness) end(now time.Time, args []string) string {
 	r := replica.Result{Outcome: outcomes[args[1]], MedianLatency: 20 * time.Millisecond}
--- a/replica/stat.go
+++ b/replica/stat.go
@@ -28,6 +28,7 @@
 	connectionFailures int // consecutive connection failures
 	ejections          int
 	crashSuspects      []crashSuspect // requests whose connection was lost, if the upstream has not answered since
+	probeAt            time.Time      // time of the probe that is due; zero if none is
 	ejectedUntil       time.Time
 }
 
@@ -95,8 +96,19 @@
 	return cost
 }
 
+// endPending removes a pending attempt and returns the time at which it was started.
+func (r *replica) endPending(number uint64) time.Time {
+	i := slices.IndexFunc(r.pending, func(p pendingAttempt) bool { return p.number == number })
+	if i < 0 {
+		return time.Time{}
+	}
+	startedAt := r.pending[i].startedAt
+	r.pending = slices.Delete(r.pending, i, i+1)
+	return startedAt
+}
+
 func (r *replica) endAttempt(now time.Time, number uint64, res Result, n *CrashSuspicions) []uint64 {
-	r.pending = slices.DeleteFunc(r.pending, func(p pendingAttempt) bool { return p.number == number })
+	startedAt := r.endPending(number)
 	if res.Load != nil {
 		r.load, r.loadReportedAt = *res.Load, now
 	}
@@ -107,7 +119,7 @@
 	case Succeeded:
 		r.connectionFailures, r.ejections = 0, 0
 		r.answeredAt = now
-		r.dismissCrashSuspects(n)
+		r.dismissCrashSuspects(startedAt, n)
 		r.ejectedUntil = time.Time{}
 		r.observe(now, res, 0)
 	case Abandoned:
--- a/standin/shard/shard.go
+++ b/standin/shard/shard.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"net/netip"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -38,8 +39,12 @@
 	EndlessHead      Behaviour = "endless-head" // executes the request and sends a header that does not end
 	EndlessBody      Behaviour = "endless-body" // executes the request and sends a body that does not end
 	LateCopy         Behaviour = "copy"         // responds, and sends a copy of the response a little later
+	Crashing         Behaviour = "crash"        // stops for good when it begins to execute a request for a CrashingTarget
 )
 
+// CrashingTarget is the part of a request target that makes a server with the behaviour Crashing stop.
+const CrashingTarget = "crashing"
+
 // RestTime is the time for which a server with the behaviour Resting asks for no requests.
 const RestTime = 1500 * time.Millisecond
 
@@ -188,6 +193,10 @@
 		st.executions = append(st.executions, Execution{RequestID: requestID, Method: r.Method, Target: r.RequestURI, Body: string(body), Header: r.Header, StartedAt: time.Now()})
 	})
 	defer s.state.With(func(st *state) { st.running-- })
+	if b == Crashing && strings.Contains(r.RequestURI, CrashingTarget) {
+		s.Close()
+		panic(http.ErrAbortHandler)
+	}
 	if !pool.Sleep(r.Context(), s.serviceTime) {
 		return // the caller closed the connection
 	}
--- a/transport/http1/http1.go
+++ b/transport/http1/http1.go
@@ -83,6 +83,10 @@
 	// Start sends the call over an idle connection, or over a new one if fewer than maxConns are open to the
 	// upstream; otherwise the call waits for a connection.
 	Start(address netip.AddrPort, maxConns int, call *Call, done DoneFunc) *Exchange
+	// Probe tells whether the upstream accepts connections: with NoFailure if one is idle or a new one could be
+	// opened, which is kept for later calls, with Unreachable or ConnectTimedOut if not, and with PoolExhausted if
+	// maxConns are open already or the pool is closed. It calls done once; done must not block.
+	Probe(address netip.AddrPort, maxConns int, done func(f Failure))
 }
 
 // Counts holds the totals of a pool since its start.
--- a/transport/http1/pool.go
+++ b/transport/http1/pool.go
@@ -89,6 +89,41 @@
 	}
 }
 
+// Probe tells whether the upstream accepts connections.
+func (p *Pool) Probe(address netip.AddrPort, maxConns int, done func(f Failure)) {
+	switch p.acquireForProbe(address, maxConns) {
+	case reuseIdle:
+		done(NoFailure)
+	case dialNew:
+		if !p.workers.Submit(func() { p.dialAndPark(address, done) }) {
+			p.release(address)
+			done(PoolExhausted)
+		}
+	default:
+		done(PoolExhausted)
+	}
+}
+
+// acquireForProbe decides how a probe is answered. With dialNew a connection counts as open from now on.
+func (p *Pool) acquireForProbe(address netip.AddrPort, maxConns int) acquisition {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.hosts[address]
+	switch {
+	case p.closed || (h != nil && h.open >= maxConns && len(h.idle) == 0):
+		return reject
+	case h != nil && len(h.idle) > 0:
+		return reuseIdle
+	case h == nil:
+		h = &host{}
+		p.hosts[address] = h
+	}
+	h.open++
+	h.maxOpen = maxConns
+	p.counts.Dialed++
+	return dialNew
+}
+
 // Counts returns the current counts.
 func (p *Pool) Counts() Counts {
 	p.mu.Lock()
@@ -247,25 +282,41 @@
 
 // dialAndSend opens a connection for the exchange and sends its request.
 func (p *Pool) dialAndSend(address netip.AddrPort, e *Exchange) {
+	c, failure := p.open(address)
+	switch {
+	case failure != NoFailure:
+		e.finish(Response{}, failure)
+	case e.isOver():
+		p.park(c)
+	default:
+		p.send(c, e)
+	}
+}
+
+// dialAndPark opens a connection for a probe and keeps it for later calls.
+func (p *Pool) dialAndPark(address netip.AddrPort, done func(f Failure)) {
+	c, failure := p.open(address)
+	if failure == NoFailure {
+		p.park(c)
+	}
+	done(failure)
+}
+
+// open opens a connection that is counted as open already. If it fails, it frees the slot of the connection.
+func (p *Pool) open(address netip.AddrPort) (*conn, Failure) {
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
 	nc, err := p.dial(ctx, "tcp", address.String())
 	if err != nil {
 		p.release(address)
 		if ctx.Err() != nil {
-			e.finish(Response{}, ConnectTimedOut)
-		} else {
-			e.finish(Response{}, Unreachable)
+			return nil, ConnectTimedOut
 		}
-		return
+		return nil, Unreachable
 	}
 	c := newConn(p, address, nc)
 	go c.readLoop()
-	if e.isOver() {
-		p.park(c)
-		return
-	}
-	p.send(c, e)
+	return c, NoFailure
 }
 
 // send writes the request of the exchange to the connection; a worker writes a request with a long body.
--- a/transport/http1/pool_test.go
+++ b/transport/http1/pool_test.go
@@ -112,13 +112,17 @@
 }
 
 func (u *scriptedUpstream) close() {
+	u.stop()
+	u.work.Wait()
+}
+
+func (u *scriptedUpstream) stop() {
 	_ = u.listener.Close()
 	u.mu.Lock()
+	defer u.mu.Unlock()
 	for _, c := range u.conns {
 		_ = c.Close()
 	}
-	u.mu.Unlock()
-	u.work.Wait()
 }
 
 // TestScripts guards against responses that reach another request, truncated responses that pass as complete
@@ -141,7 +145,14 @@
 		address := netip.MustParseAddrPort(u.listener.Addr().String())
 		var out strings.Builder
 		for _, line := range strings.Split(strings.TrimSpace(calls), "\n") {
-			out.WriteString(runCall(p, address, line) + "\n")
+			switch line {
+			case "probe":
+				out.WriteString(runProbe(p, address) + "\n")
+			case "stop": // refuses further connections and closes the open ones
+				u.stop()
+			default:
+				out.WriteString(runCall(p, address, line) + "\n")
+			}
 		}
 		p.Close()
 		u.close()
@@ -192,6 +203,13 @@
 	return sample[0].Value.Uint64()
 }
 
+// runProbe probes the upstream, to which at most one connection may be open, and describes the result.
+func runProbe(p *Pool, address netip.AddrPort) string {
+	done := make(chan Failure, 1)
+	p.Probe(address, 1, func(f Failure) { done <- f })
+	return fmt.Sprintf("probe %v, open %d", <-done, p.Counts().Open)
+}
+
 // runCall makes the call that a line describes by its id and the size of its body in bytes.
 func runCall(p *Pool, address netip.AddrPort, line string) string {
 	var id string
