Tell a VM that starts again what other VMs have reported

A VM tells those that join the tier which upstreams have said that they leave. A VM that started again within 25 s of its last heartbeat did not count as one that joins, though it has forgotten all of it: it could send requests to an upstream that had said that it leaves. Found while looking for what a restarted VM does not know of requests that crash upstreams.

The member list now compares the incarnation of heartbeats, so a VM that starts again is new at once. It also gets the list of aggregators with the first heartbeat, as other new VMs do.

member member.txt fails without the change: nothing is sent to the VM that has restarted.

--- a/aggregator/memberlist.go
+++ b/aggregator/memberlist.go
@@ -37,6 +37,7 @@
 	discovered        time.Time // heartbeat with which the VM was discovered; zero if there was none
 	heartbeat         time.Time // last heartbeat received directly; zero if there was none
 	indirectHeartbeat time.Time // last heartbeat reported by another VM
+	incarnation       uint64    // of the sender of the last heartbeat
 	zoneMembers       int       // VMs that it knows in its zone, itself included
 	leaving           bool
 }
@@ -49,20 +50,23 @@
 // Heartbeat is the information about its sender that a heartbeat carries.
 type Heartbeat struct {
 	VM
-	ZoneMembers int  // VMs that the sender knows in its zone, itself included
-	Leaving     bool // the sender is about to stop
+	Incarnation uint64 // differs for each start of the process
+	ZoneMembers int    // VMs that the sender knows in its zone, itself included
+	Leaving     bool   // the sender is about to stop
 }
 
-// RecordHeartbeat records a heartbeat and reports whether its sender is newly discovered.
+// RecordHeartbeat records a heartbeat and reports whether its sender is newly discovered. A VM that has started again is
+// new, however soon, because it knows nothing of what others told it before.
 func (l *MemberList) RecordHeartbeat(now time.Time, h Heartbeat) bool {
 	return table.WithResult(l.state, func(s *memberList) bool {
 		m := s.member(h.Address)
-		isNew := m.heartbeat.IsZero() || now.Sub(m.heartbeat) >= memberRetention
+		isNew := m.heartbeat.IsZero() || now.Sub(m.heartbeat) >= memberRetention || m.incarnation != h.Incarnation
 		if isNew {
 			m.discovered = now
 		}
 		s.changed = s.changed || isNew || m.leaving != h.Leaving
-		m.VM, m.heartbeat, m.zoneMembers, m.leaving = h.VM, now, h.ZoneMembers, h.Leaving
+		m.VM, m.heartbeat, m.incarnation = h.VM, now, h.Incarnation
+		m.zoneMembers, m.leaving = h.ZoneMembers, h.Leaving
 		return isNew
 	})
 }
--- a/member/member.go
+++ b/member/member.go
@@ -208,7 +208,7 @@
 func (m *Member) handleHeartbeat(now time.Time, from netip.AddrPort, h *wire.Heartbeat) {
 	m.fleet.ReceiveHeartbeat(now, codec.FromWireHeartbeat(from, h))
 	vm := aggregator.VM{Address: from, Zone: h.Zone, Cores: h.Cores}
-	isNew := m.members.RecordHeartbeat(now, aggregator.Heartbeat{VM: vm, ZoneMembers: h.ZoneMembers, Leaving: h.Leaving})
+	isNew := m.members.RecordHeartbeat(now, aggregator.Heartbeat{VM: vm, Incarnation: h.Incarnation, ZoneMembers: h.ZoneMembers, Leaving: h.Leaving})
 	for _, a := range h.Aggregators {
 		m.members.RecordIndirectHeartbeat(aggregator.VM{Address: a.VM, Zone: a.Zone, Cores: a.Cores}, now.Add(-max(a.Age, 0)))
 		m.connect(now, a.VM)
