Tell a VM what was reported when the connection to it opens

A VM that started could send requests to an upstream that had told other VMs that it leaves, while the store still listed it as ready.

Cause: a VM that joins the tier was told at its first heartbeat. The connection to it is opened at that moment, and a message for a connection that is not open yet is dropped. So the report was never sent. The scripts of member did not show it: their stand-in of the hub accepts messages at any time. The same holds for a VM that a partition has cut off: what was reported meanwhile was sent once, to the VMs connected then.

The hub now reports an open connection, and the member sends what is known then, also after a partition or a restart.

--- a/aggregator/aggregator_test.go
+++ b/aggregator/aggregator_test.go
@@ -64,6 +64,10 @@
 		heartbeat := aggregator.Heartbeat{VM: parseVM(f[2:5]), Leaving: len(f) > 6}
 		fmt.Sscan(f[5], &heartbeat.ZoneMembers)
 		s.members.RecordHeartbeat(now, heartbeat)
+	case "discover": // number, incarnation
+		heartbeat := aggregator.Heartbeat{VM: parseVM([]string{f[2], "angers-est", "0.2"})}
+		fmt.Sscan(f[3], &heartbeat.Incarnation)
+		return fmt.Sprintln("new", s.members.RecordHeartbeat(now, heartbeat))
 	case "many": // from, to, zone, cores
 		var from, to int
 		fmt.Sscan(f[2], &from)
--- a/entry/vm/peers.go
+++ b/entry/vm/peers.go
@@ -89,6 +89,9 @@
 	}
 }
 
+// Connected does nothing: the heartbeats to a peer carry all that it must know.
+func (vm *VM) Connected(netip.AddrPort) {}
+
 // Disconnected fails the pending look-ups at an owner VM, whose results may have been lost with the
 // connection, so that they are retried elsewhere.
 func (vm *VM) Disconnected(owner netip.AddrPort) {
--- a/member/member.go
+++ b/member/member.go
@@ -52,7 +52,7 @@
 type UpstreamView interface {
 	// SilentZones returns the zones of which no upstream answers this VM.
 	SilentZones(now time.Time) []string
-	// SaidDraining returns the upstreams that have said that they drain, for VMs that have just joined the tier.
+	// SaidDraining returns the upstreams that have said that they drain, for VMs that have just been connected.
 	SaidDraining() []route.Server
 }
 
@@ -216,9 +216,6 @@
 	m.connect(now, from)
 	if isNew {
 		m.events.Record(event.PeerFound, event.F(event.Peer, from), event.F(event.Zone, h.Zone))
-		for _, s := range m.listener.SaidDraining() {
-			m.peers.Send(from, newDrainingReport(s.ID, s.StartedAt))
-		}
 	}
 	if isNew || h.Leaving {
 		m.publishTier(now)
@@ -284,6 +281,18 @@
 // the handler is notified through ConnectionLost.
 func (m *Member) Undelivered(netip.AddrPort, []*wire.Envelope) {}
 
+// Connected tells a VM what was reported before there was a connection to it. Reports are sent once, and to the connected
+// VMs only, so that a VM that starts, or returns from a partition, has missed them.
+func (m *Member) Connected(vm netip.AddrPort) {
+	m.worker.Submit(func() { m.introduce(vm) })
+}
+
+func (m *Member) introduce(vm netip.AddrPort) {
+	for _, s := range m.listener.SaidDraining() {
+		m.peers.Send(vm, newDrainingReport(s.ID, s.StartedAt))
+	}
+}
+
 // Disconnected notifies the query handler that queries sent to the VM may be lost. The transport reconnects by itself.
 func (m *Member) Disconnected(vm netip.AddrPort) {
 	m.queries.ConnectionLost(vm)
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -133,7 +133,7 @@
 
 // TestScripts guards against a wrong number of VMs that share the limits of upstreams, in particular while some send
 // no heartbeats, against a VM that does not request newer state from others while it cannot read the platform, and
-// against reports of draining upstreams that do not reach the other VMs, those that have just restarted included, or
+// against reports of draining upstreams that do not reach the other VMs, those that were not connected included, or
 // circulate without end.
 func TestScripts(t *testing.T) {
 	datadriven.RunTest(t, "testdata/member.txt", func(t *testing.T, d *datadriven.TestData) string {
@@ -183,9 +183,8 @@
 			h.Cursors = []uint64{revision}
 		}
 		s.member.handle(now, from, &wire.Envelope{Kind: codec.KindHeartbeat, Heartbeat: h})
-	case "restarted":
-		h := &wire.Heartbeat{VM: from, Zone: "angers-est", Incarnation: 6, Heard: []wire.HeardPeer{}}
-		s.member.handle(now, from, &wire.Envelope{Kind: codec.KindHeartbeat, Heartbeat: h})
+	case "connected":
+		s.member.introduce(from)
 	case "many": // from, to, zone, cores
 		var first, last int
 		fmt.Sscan(f[2], &first)
--- a/transport/socket/link.go
+++ b/transport/socket/link.go
@@ -68,6 +68,7 @@
 // serve sends messages on one connection until it fails or the link is cancelled.
 func (l *link) serve(c *websocket.Conn) {
 	l.setConnected(true)
+	l.receiver.Connected(l.vm)
 	ctx := c.CloseRead(l.ctx)
 	var pinging sync.WaitGroup
 	pinging.Go(func() { l.pingLoop(ctx, c) })
--- a/transport/socket/socket.go
+++ b/transport/socket/socket.go
@@ -33,6 +33,8 @@
 	Receive(from netip.AddrPort, message *wire.Envelope)
 	// Undelivered reports messages that Send accepted but that were never written.
 	Undelivered(vm netip.AddrPort, messages []*wire.Envelope)
+	// Connected reports that a connection to the VM has opened. Send drops messages while there is none.
+	Connected(vm netip.AddrPort)
 	// Disconnected reports that a connection to the VM has ended; messages already written to it may not have
 	// arrived.
 	Disconnected(vm netip.AddrPort)
--- a/transport/socket/socket_test.go
+++ b/transport/socket/socket_test.go
@@ -28,6 +28,7 @@
 	mu              sync.Mutex
 	changed         chan struct{}
 	received        map[netip.AddrPort]int
+	connects        int
 	disconnects     int
 	connectFailures int
 	undelivered     int
@@ -58,6 +59,7 @@
 func (r *recorder) Undelivered(_ netip.AddrPort, m []*wire.Envelope) {
 	r.record(func() { r.undelivered += len(m) })
 }
+func (r *recorder) Connected(netip.AddrPort)     { r.record(func() { r.connects++ }) }
 func (r *recorder) Disconnected(netip.AddrPort)  { r.record(func() { r.disconnects++ }) }
 func (r *recorder) ConnectFailed(netip.AddrPort) { r.record(func() { r.connectFailures++ }) }
 
