Tell a VM that joins the tier which requests have crashed upstreams

What callers saw: after a VM had been replaced or restarted, a request that all other VMs refused was sent to upstreams again, three more of which ended before the new VM refused it too. A restart of all VMs in turn allows that at each of them.

Cause: crashes are reported when they are seen, to the VMs that are connected then. Nothing told a VM that joined later. Crashes now go to a VM when the connection to it opens, as reports of draining upstreams do: those of the latest 64 requests at most, since the partition of a zone looks like many crashes.

--- a/forward/crash.go
+++ b/forward/crash.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"pistachioshore.dev/event"
+	"pistachioshore.dev/quarantine"
 	"pistachioshore.dev/replica"
 )
 
@@ -46,6 +47,11 @@
 	})
 }
 
+// Crashes returns the crashes that a VM which has just joined the tier must know of.
+func (vm *VM) Crashes(now time.Time) []quarantine.Crash {
+	return vm.crashTracker.Crashes(now, maxSharedCrashRequests)
+}
+
 // BlockedRequests returns the number of requests, counted by content, that this VM refuses because they have crashed
 // upstreams.
 func (vm *VM) BlockedRequests(now time.Time) int {
--- a/forward/options.go
+++ b/forward/options.go
@@ -31,6 +31,10 @@
 	// closes its connections and its listener one after the other.
 	crashProbeDelay = 20 * time.Millisecond
 
+	// maxSharedCrashRequests is the number of requests whose crashes are sent to a VM that joins the tier. The partition of
+	// a zone can look like a crash under many more requests.
+	maxSharedCrashRequests = 64
+
 	// retryBudgetUtilization is the part of the retry budget that the VM uses. The rest covers requests it
 	// cannot count, such as those received by a process that was killed.
 	retryBudgetUtilization = 0.85
--- a/member/member.go
+++ b/member/member.go
@@ -54,6 +54,8 @@
 	SilentZones(now time.Time) []string
 	// SaidDraining returns the upstreams that have said that they drain, for VMs that have just been connected.
 	SaidDraining() []route.Server
+	// Crashes returns the upstreams that crashed while they ran a request, for VMs that have just been connected.
+	Crashes(now time.Time) []quarantine.Crash
 }
 
 // Listener is notified of changes in the tier and of what other VMs report about upstreams.
@@ -250,8 +252,12 @@
 }
 
 func (m *Member) sendCrashReport(now time.Time, fingerprint uint64, server string, from netip.AddrPort) {
+	m.sendReport(from, newCrashReport(now, fingerprint, server))
+}
+
+func newCrashReport(now time.Time, fingerprint uint64, server string) *wire.Envelope {
 	r := &wire.CanaryReport{Fingerprint: fingerprint, Upstream: server, Outcome: quarantine.Crashed.String(), Until: now}
-	m.sendReport(from, &wire.Envelope{Kind: codec.KindCanaryReport, CanaryReport: r})
+	return &wire.Envelope{Kind: codec.KindCanaryReport, CanaryReport: r}
 }
 
 // handleDraining records a draining upstream that another VM has reported, and forwards a new report in a large tier as
@@ -284,13 +290,16 @@
 // Connected tells a VM what was reported before there was a connection to it. Reports are sent once, and to the connected
 // VMs only, so that a VM that starts, or returns from a partition, has missed them.
 func (m *Member) Connected(vm netip.AddrPort) {
-	m.worker.Submit(func() { m.introduce(vm) })
+	m.worker.Submit(func() { m.introduce(time.Now(), vm) })
 }
 
-func (m *Member) introduce(vm netip.AddrPort) {
+func (m *Member) introduce(now time.Time, vm netip.AddrPort) {
 	for _, s := range m.listener.SaidDraining() {
 		m.peers.Send(vm, newDrainingReport(s.ID, s.StartedAt))
 	}
+	for _, c := range m.listener.Crashes(now) {
+		m.peers.Send(vm, newCrashReport(now, c.Fingerprint, c.Upstream))
+	}
 }
 
 // Disconnected notifies the query handler that queries sent to the VM may be lost. The transport reconnects by itself.
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -14,6 +14,7 @@
 	"pistachioshore.dev/codec"
 	"pistachioshore.dev/event"
 	"pistachioshore.dev/fleet"
+	"pistachioshore.dev/quarantine"
 	"pistachioshore.dev/route"
 	"pistachioshore.dev/wire"
 )
@@ -29,6 +30,7 @@
 	silent       []string // zones that do not answer this VM
 	reported     []string // zones that do not answer its primary aggregator
 	leaving      []route.Server
+	known        []quarantine.Crash // crashes that this VM knows of
 	queries      []string
 	disconnected []string
 	shown        []string
@@ -93,6 +95,9 @@
 // SaidDraining returns the upstreams of the script.
 func (s *scriptedVM) SaidDraining() []route.Server { return s.leaving }
 
+// Crashes returns the crashes of the script.
+func (s *scriptedVM) Crashes(time.Time) []quarantine.Crash { return s.known }
+
 // Send records the message.
 func (s *scriptedVM) Send(vm netip.AddrPort, e *wire.Envelope) bool {
 	s.sent = append(s.sent, e.Kind+" to "+vm.String())
@@ -184,7 +189,7 @@
 		}
 		s.member.handle(now, from, &wire.Envelope{Kind: codec.KindHeartbeat, Heartbeat: h})
 	case "connected":
-		s.member.introduce(from)
+		s.member.introduce(now, from)
 	case "many": // from, to, zone, cores
 		var first, last int
 		fmt.Sscan(f[2], &first)
@@ -218,6 +223,8 @@
 		s.member.handle(now, from, &wire.Envelope{Kind: codec.KindDraining, UpstreamDraining: &wire.UpstreamDraining{Upstream: "i-3", StartedAt: time.UnixMilli(5)}})
 	case "knows": // that an upstream drains
 		s.leaving = append(s.leaving, route.Server{ID: "i-5", StartedAt: time.UnixMilli(7)})
+	case "saw": // an upstream crash
+		s.known = append(s.known, quarantine.Crash{Fingerprint: 8, Upstream: "i-6"})
 	case "cut": // an aggregator reports unreachable zones
 		h := &wire.Heartbeat{VM: from, Zone: "brest-nord", Incarnation: 5, Cores: 0.8, Heard: []wire.HeardPeer{}, UnreachableZones: f[3:]}
 		s.member.handle(now, from, &wire.Envelope{Kind: codec.KindHeartbeat, Heartbeat: h})
--- a/quarantine/crashtracker.go
+++ b/quarantine/crashtracker.go
@@ -77,6 +77,29 @@
 	})
 }
 
+// Crash is an upstream that crashed while it ran a request.
+type Crash struct {
+	Fingerprint uint64 // hash of the content of the request
+	Upstream    string // ID of the upstream
+}
+
+// Crashes returns the recorded crashes of the latest maxRequests requests, in no particular order.
+func (c *CrashTracker) Crashes(now time.Time, maxRequests int) []Crash {
+	return table.WithResult(c.state, func(st *crashTracker) []Crash {
+		var list []Crash
+		st.crashed.Each(now, func(fp uint64, upstreams map[string]bool) {
+			if maxRequests <= 0 {
+				return
+			}
+			maxRequests--
+			for id := range upstreams {
+				list = append(list, Crash{fp, id})
+			}
+		})
+		return list
+	})
+}
+
 // BlockedCount returns the number of requests that must not run.
 func (c *CrashTracker) BlockedCount(now time.Time) int {
 	return table.WithResult(c.state, func(st *crashTracker) int {
