Count each start of an upstream that a request crashes

What callers saw: a request could crash one upstream again and again without being refused, if the upstream keeps its ID when it starts again and the service has fewer than three upstreams.

Cause: crashes were counted by the ID of the upstream. They are counted by ID and start now, as notices of upstreams are.

quarantine suspects.txt: three crashes of one upstream at different starts were not blocked before.

--- a/forward/crash.go
+++ b/forward/crash.go
@@ -6,29 +6,30 @@
 	"pistachioshore.dev/event"
 	"pistachioshore.dev/quarantine"
 	"pistachioshore.dev/replica"
+	"pistachioshore.dev/route"
 )
 
-// RecordCrash records the report of another VM that the upstream with the ID server seems to have crashed while running
-// the request with the given fingerprint. It reports whether the crash was not known before.
-func (vm *VM) RecordCrash(fingerprint uint64, server string) bool {
-	return vm.recordCrash(fingerprint, server, "reported by another VM")
+// RecordCrash records a crash that another VM has reported. It reports whether the crash was not known before.
+func (vm *VM) RecordCrash(c quarantine.Crash) bool {
+	return vm.recordCrash(c, "reported by another VM")
 }
 
 // recordCrash records a crash and how it was learned of.
-func (vm *VM) recordCrash(fingerprint uint64, server, source string) bool {
-	if !vm.crashTracker.RecordCrash(time.Now(), fingerprint, server) {
+func (vm *VM) recordCrash(c quarantine.Crash, source string) bool {
+	if !vm.crashTracker.RecordCrash(time.Now(), c) {
 		return false
 	}
-	vm.events.Record(event.CrashSuspected, event.F(event.Fingerprint, fingerprint), event.F(event.Server, server), event.F(event.Reason, source))
+	vm.events.Record(event.CrashSuspected, event.F(event.Fingerprint, c.Fingerprint), event.F(event.Server, c.Upstream), event.F(event.Reason, source))
 	return true
 }
 
 // reportCrashes records that an upstream has crashed while it ran requests with the given fingerprints, and reports it to
 // the other VMs.
-func (vm *VM) reportCrashes(fingerprints []uint64, server string) {
+func (vm *VM) reportCrashes(fingerprints []uint64, s route.Server) {
 	for _, fp := range fingerprints {
-		if vm.recordCrash(fp, server, "seen by this VM") {
-			vm.onCrash(fp, server)
+		c := quarantine.Crash{Fingerprint: fp, Upstream: s.ID, StartedAt: s.StartedAt}
+		if vm.recordCrash(c, "seen by this VM") {
+			vm.onCrash(c)
 		}
 	}
 }
@@ -42,7 +43,7 @@
 	}
 	vm.timers.Schedule(at, func() {
 		vm.sender.Probe(h.Server, maxConns, func(res replica.ProbeResult) {
-			vm.workers.Submit(func() { vm.reportCrashes(vm.replicas.EndProbe(time.Now(), h, res), h.Server.ID) })
+			vm.workers.Submit(func() { vm.reportCrashes(vm.replicas.EndProbe(time.Now(), h, res), h.Server) })
 		})
 	})
 }
--- a/forward/query.go
+++ b/forward/query.go
@@ -447,7 +447,7 @@
 	crashed := vm.replicas.EndAttempt(now, handle, replica.Result{
 		Outcome: res.Outcome, Elapsed: elapsed, MedianLatency: vm.latency.Median(group), Load: res.Load, Fingerprint: q.fingerprint,
 	})
-	vm.reportCrashes(crashed, handle.Server.ID)
+	vm.reportCrashes(crashed, handle.Server)
 	if res.Outcome == replica.ConnectionLost {
 		vm.probeAfterLoss(now, handle, q.maxConnections(q.cfg.Services[handle.Server.Service]))
 	}
--- a/forward/vm.go
+++ b/forward/vm.go
@@ -32,7 +32,7 @@
 	events       event.Recorder
 	stats        *Stats
 	crashTracker *quarantine.CrashTracker
-	onCrash      func(fingerprint uint64, server string)  // reports a crash to other VMs
+	onCrash      func(c quarantine.Crash)                 // reports a crash to other VMs
 	onDraining   func(server string, startedAt time.Time) // reports a draining upstream to other VMs
 
 	workers *pool.Pool[func()]
@@ -62,7 +62,7 @@
 		shardBudgets: newRetryBudgets(s.RetryRatio * retryBudgetUtilization),
 		stats:        newStats(),
 		crashTracker: quarantine.NewCrashTracker(quarantine.DefaultCrashTrackerSettings()),
-		onCrash:      func(uint64, string) {},
+		onCrash:      func(quarantine.Crash) {},
 		onDraining:   func(string, time.Time) {},
 		state:        table.NewGuarded(table.RankPending, vmState{shares: aggregator.LimitShares{Members: 1}}),
 	}
@@ -95,9 +95,8 @@
 	vm.relay = r
 }
 
-// OnCrash sets the function to call when the upstream with the ID server seems to have crashed while running the request
-// with the given fingerprint, a hash of the request's content.
-func (vm *VM) OnCrash(notify func(fingerprint uint64, server string)) {
+// OnCrash sets the function to call when an upstream seems to have crashed while running a request.
+func (vm *VM) OnCrash(notify func(c quarantine.Crash)) {
 	vm.onCrash = notify
 }
 
--- a/member/member.go
+++ b/member/member.go
@@ -63,9 +63,8 @@
 	UpstreamView
 	// SetLimitShares is called with each change in how the VMs share the limits of upstreams.
 	SetLimitShares(s aggregator.LimitShares)
-	// RecordCrash records a crash, reported by another VM, of the upstream with the ID server while it ran the request
-	// with the given fingerprint, a hash of the request's content. It reports whether the crash was not known yet.
-	RecordCrash(fingerprint uint64, server string) bool
+	// RecordCrash records a crash that another VM has reported. It reports whether the crash was not known yet.
+	RecordCrash(c quarantine.Crash) bool
 	// RecordDraining records that the upstream with the ID server, which started at the given time, has told another VM
 	// that it drains. It reports whether this was not known yet.
 	RecordDraining(server string, startedAt time.Time) bool
@@ -240,24 +239,19 @@
 // handleCrashReport records a crash that another VM has reported. In a large tier the reporter may be connected to
 // few VMs, so this VM forwards a new report to its own connections.
 func (m *Member) handleCrashReport(now time.Time, from netip.AddrPort, r *wire.CanaryReport) {
-	if m.listener.RecordCrash(r.Fingerprint, r.Upstream) && len(m.members.Aggregators(now)) > 0 {
-		m.sendCrashReport(now, r.Fingerprint, r.Upstream, from)
+	c := codec.FromWireCrash(r)
+	if m.listener.RecordCrash(c) && len(m.members.Aggregators(now)) > 0 {
+		m.sendReport(from, newCrashReport(now, c))
 	}
 }
 
-// BroadcastCrash reports to the connected VMs that the upstream with the ID server crashed while it ran the request with
-// the given fingerprint.
-func (m *Member) BroadcastCrash(now time.Time, fingerprint uint64, server string) {
-	m.sendCrashReport(now, fingerprint, server, m.self.Address)
+// BroadcastCrash reports a crash that this VM has seen to the connected VMs.
+func (m *Member) BroadcastCrash(now time.Time, c quarantine.Crash) {
+	m.sendReport(m.self.Address, newCrashReport(now, c))
 }
 
-func (m *Member) sendCrashReport(now time.Time, fingerprint uint64, server string, from netip.AddrPort) {
-	m.sendReport(from, newCrashReport(now, fingerprint, server))
-}
-
-func newCrashReport(now time.Time, fingerprint uint64, server string) *wire.Envelope {
-	r := &wire.CanaryReport{Fingerprint: fingerprint, Upstream: server, Outcome: quarantine.Crashed.String(), Until: now}
-	return &wire.Envelope{Kind: codec.KindCanaryReport, CanaryReport: r}
+func newCrashReport(now time.Time, c quarantine.Crash) *wire.Envelope {
+	return &wire.Envelope{Kind: codec.KindCanaryReport, CanaryReport: codec.ToWireCrash(now, c)}
 }
 
 // handleDraining records a draining upstream that another VM has reported, and forwards a new report in a large tier as
@@ -298,7 +292,7 @@
 		m.peers.Send(vm, newDrainingReport(s.ID, s.StartedAt))
 	}
 	for _, c := range m.listener.Crashes(now) {
-		m.peers.Send(vm, newCrashReport(now, c.Fingerprint, c.Upstream))
+		m.peers.Send(vm, newCrashReport(now, c))
 	}
 }
 
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -66,8 +66,8 @@
 }
 
 // RecordCrash records the crash and reports it as new.
-func (s *scriptedVM) RecordCrash(fp uint64, server string) bool {
-	s.crashes = append(s.crashes, fmt.Sprintf("%d at %s", fp, server))
+func (s *scriptedVM) RecordCrash(c quarantine.Crash) bool {
+	s.crashes = append(s.crashes, fmt.Sprintf("%d at %s", c.Fingerprint, c.Upstream))
 	return true
 }
 
@@ -231,7 +231,7 @@
 	case "leaving": // seen by this VM
 		s.member.BroadcastDraining("i-4", time.UnixMilli(6))
 	case "tell":
-		s.member.BroadcastCrash(now, 9, "i-2")
+		s.member.BroadcastCrash(now, quarantine.Crash{Fingerprint: 9, Upstream: "i-2"})
 	default:
 		t.Fatalf("unknown command %q", f[1])
 	}
--- a/quarantine/crashtracker.go
+++ b/quarantine/crashtracker.go
@@ -20,6 +20,14 @@
 	return CrashTrackerSettings{CrashThreshold: 3, CrashTTL: time.Minute, SuccessTTL: 10 * time.Second, MaxFingerprints: 4096}
 }
 
+// Crash is the crash of an upstream while it ran a request. An upstream that starts again may keep its ID, and can then
+// crash again.
+type Crash struct {
+	Fingerprint uint64    // hash of the content of the request
+	Upstream    string    // ID of the upstream
+	StartedAt   time.Time // start of the upstream that ended with the crash
+}
+
 // CrashTracker counts the upstreams that crashed while they ran a request. Unlike Table it uses no canary requests,
 // because running each new request on one shard first would double its latency. Any success clears the request, because
 // a request that crashes upstreams crashes all of them. Successes are kept for a while, because a crash, which shows as
@@ -31,32 +39,38 @@
 }
 
 type crashTracker struct {
-	crashed   *table.TTLMap[uint64, map[string]bool] // upstreams by fingerprint
+	crashed   *table.TTLMap[uint64, map[start]bool] // starts of upstreams that crashed, by fingerprint
 	succeeded *table.TTLMap[uint64, bool]
 }
 
+// start identifies one start of an upstream.
+type start struct {
+	upstream string
+	at       int64 // in ms since the Unix epoch, because times with different locations are not equal
+}
+
 // NewCrashTracker returns a tracker without recorded crashes.
 func NewCrashTracker(s CrashTrackerSettings) *CrashTracker {
-	st := crashTracker{crashed: table.NewTTLMap[uint64, map[string]bool](s.MaxFingerprints), succeeded: table.NewTTLMap[uint64, bool](s.MaxFingerprints)}
+	st := crashTracker{crashed: table.NewTTLMap[uint64, map[start]bool](s.MaxFingerprints), succeeded: table.NewTTLMap[uint64, bool](s.MaxFingerprints)}
 	return &CrashTracker{settings: s, state: table.NewGuarded(table.RankQuarantine, st)}
 }
 
-// RecordCrash records that an upstream crashed while it ran the request with fingerprint fp, and reports whether the
-// crash counts as new.
-func (c *CrashTracker) RecordCrash(now time.Time, fp uint64, upstream string) bool {
+// RecordCrash records a crash, and reports whether it counts as new.
+func (c *CrashTracker) RecordCrash(now time.Time, crash Crash) bool {
 	return table.WithResult(c.state, func(st *crashTracker) bool {
+		fp, s := crash.Fingerprint, start{crash.Upstream, crash.StartedAt.UnixMilli()}
 		if _, ok := st.succeeded.Get(fp, now); ok {
 			return false
 		}
-		upstreams, ok := st.crashed.Get(fp, now)
+		starts, ok := st.crashed.Get(fp, now)
 		if !ok {
-			upstreams = map[string]bool{}
+			starts = map[start]bool{}
 		}
-		if upstreams[upstream] || len(upstreams) >= c.settings.CrashThreshold {
+		if starts[s] || len(starts) >= c.settings.CrashThreshold {
 			return false
 		}
-		upstreams[upstream] = true
-		st.crashed.Put(fp, upstreams, now.Add(c.settings.CrashTTL))
+		starts[s] = true
+		st.crashed.Put(fp, starts, now.Add(c.settings.CrashTTL))
 		return true
 	})
 }
@@ -72,28 +86,22 @@
 // Blocked reports whether the request must not run, because CrashThreshold upstreams have crashed while running it.
 func (c *CrashTracker) Blocked(now time.Time, fp uint64) bool {
 	return table.WithResult(c.state, func(st *crashTracker) bool {
-		upstreams, ok := st.crashed.Get(fp, now)
-		return ok && len(upstreams) >= c.settings.CrashThreshold
+		starts, ok := st.crashed.Get(fp, now)
+		return ok && len(starts) >= c.settings.CrashThreshold
 	})
 }
 
-// Crash is an upstream that crashed while it ran a request.
-type Crash struct {
-	Fingerprint uint64 // hash of the content of the request
-	Upstream    string // ID of the upstream
-}
-
 // Crashes returns the recorded crashes of the latest maxRequests requests, in no particular order.
 func (c *CrashTracker) Crashes(now time.Time, maxRequests int) []Crash {
 	return table.WithResult(c.state, func(st *crashTracker) []Crash {
 		var list []Crash
-		st.crashed.Each(now, func(fp uint64, upstreams map[string]bool) {
+		st.crashed.Each(now, func(fp uint64, starts map[start]bool) {
 			if maxRequests <= 0 {
 				return
 			}
 			maxRequests--
-			for id := range upstreams {
-				list = append(list, Crash{fp, id})
+			for s := range starts {
+				list = append(list, Crash{fp, s.upstream, time.UnixMilli(s.at)})
 			}
 		})
 		return list
@@ -104,8 +112,8 @@
 func (c *CrashTracker) BlockedCount(now time.Time) int {
 	return table.WithResult(c.state, func(st *crashTracker) int {
 		n := 0
-		st.crashed.Each(now, func(_ uint64, upstreams map[string]bool) {
-			if len(upstreams) >= c.settings.CrashThreshold {
+		st.crashed.Each(now, func(_ uint64, starts map[start]bool) {
+			if len(starts) >= c.settings.CrashThreshold {
 				n++
 			}
 		})
--- a/quarantine/crashtracker_test.go
+++ b/quarantine/crashtracker_test.go
@@ -12,7 +12,7 @@
 )
 
 // TestCrashTracker guards against a request that is not blocked after crashing three upstreams, and against blocking
-// one that has succeeded at any upstream. When a zone is partitioned, connections to many of its upstreams are lost and
+// one that has succeeded at any upstream. An upstream that starts again under its ID can crash again. When a zone is partitioned, connections to many of its upstreams are lost and
 // then refused although none of them has crashed.
 func TestCrashTracker(t *testing.T) {
 	start := time.Unix(1000, 0)
@@ -22,11 +22,12 @@
 		for _, line := range strings.Split(strings.TrimSpace(d.Input), "\n") {
 			var seconds int
 			var command, upstream string
-			fmt.Sscan(line, &seconds, &command, &upstream)
+			var startedAt int64 // in ms
+			fmt.Sscan(line, &seconds, &command, &upstream, &startedAt)
 			now := start.Add(time.Duration(seconds) * time.Second)
 			switch command {
 			case "crashed":
-				fmt.Fprintf(&out, "new %t\n", tracker.RecordCrash(now, 7, upstream))
+				fmt.Fprintf(&out, "new %t\n", tracker.RecordCrash(now, quarantine.Crash{Fingerprint: 7, Upstream: upstream, StartedAt: time.UnixMilli(startedAt)}))
 			case "succeeded":
 				tracker.RecordSuccess(now, 7)
 			case "blocked":
