Make no further attempt of a request that has crashed upstreams meanwhile

What callers saw: a request that was in flight when its third crash became known went on with retries and hedges, up to its deadline of 5 s.

Cause: only requests that arrive were checked. Each attempt after the first is checked now; one that is not sent counts as refused, and the answer still says that the request may have run if an attempt was sent.

--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -17,6 +17,7 @@
 
 	"pistachioshore.dev/event"
 	"pistachioshore.dev/forward"
+	"pistachioshore.dev/quarantine"
 	"pistachioshore.dev/replica"
 	"pistachioshore.dev/result"
 	"pistachioshore.dev/route"
@@ -104,6 +105,7 @@
 // sender ends attempts by the behaviours of their servers. Each attempt uses the next behaviour in the list, and the
 // last one is used for all later attempts.
 type sender struct {
+	vm           *forward.VM
 	mu           sync.Mutex
 	behaviours   map[string][]string
 	sent         []string
@@ -132,6 +134,12 @@
 		res.Code, res.Outcome = result.Complete, replica.Succeeded
 	case "panic":
 		panic("fault of a sender")
+	case "fatal": // loses the connection, and other VMs report three crashes under the same request
+		fp := quarantine.Fingerprint(a.Request.Method, nil, []string{a.Request.Host, a.Request.Target, string(a.Request.Body)}, 0)
+		for _, id := range []string{"x", "y", "z"} {
+			s.vm.RecordCrash(quarantine.Crash{Fingerprint: fp, Upstream: id})
+		}
+		res = forward.AttemptResult{Code: result.ConnectionLost, Outcome: replica.ConnectionLost}
 	case "faulty": // the result causes a panic when it is merged
 		res.Code, res.Outcome, res.Response = result.Complete, replica.Succeeded, nil
 	case "error":
@@ -192,6 +200,7 @@
 	h.replicas = replica.New(replica.Settings{Zone: "brest-nord"})
 	s := forward.Settings{Zone: "brest-nord", RetryRatio: 0.2, RetryBurst: 52, MaxInFlight: 8, Workers: 2}
 	h.vm = forward.New(s, h.routes, h.replicas, h.sender, event.Discard{})
+	h.sender.vm = h.vm
 	return h
 }
 
--- a/forward/query.go
+++ b/forward/query.go
@@ -282,13 +282,18 @@
 	}
 }
 
-// send starts an attempt, unless its replica no longer accepts requests.
+// send starts an attempt, unless its replica no longer accepts requests, or the request has crashed upstreams since the
+// query began.
 func (q *query) send(a gather.Attempt) {
 	now := time.Now()
+	if a.Number > 1 && q.vm.crashTracker.Blocked(now, q.fingerprint) {
+		q.failUnsent(a, result.Quarantined)
+		return
+	}
 	service := q.cfg.Services[q.shards[a.Shard].Service]
 	handle, ok := q.vm.replicas.StartAttempt(now, a.Server, service)
 	if !ok {
-		q.vm.workers.Submit(func() { q.contain(func() { q.advance(a, AttemptResult{Code: result.UpstreamLeaving}, 0) }) })
+		q.failUnsent(a, result.UpstreamLeaving)
 		return
 	}
 	q.recordAttempt(a, now)
@@ -312,6 +317,11 @@
 	}
 }
 
+// failUnsent ends an attempt that is not sent.
+func (q *query) failUnsent(a gather.Attempt, code result.Code) {
+	q.vm.workers.Submit(func() { q.contain(func() { q.advance(a, AttemptResult{Code: code}, 0) }) })
+}
+
 // recordAttempt counts an attempt and logs it if it is a hedge.
 func (q *query) recordAttempt(a gather.Attempt, now time.Time) {
 	q.vm.stats.recordAttempt(a)
