Let the soak send requests that stop each server that executes them

Seeds from 2000 on send an order and a look-up of this kind to random VMs, beside the kills, pauses, stops, cuts and faults of the other seeds, and check that few servers are stopped once three have been and the VMs have had time to tell one another.

--- a/standin/shard/shard.go
+++ b/standin/shard/shard.go
@@ -67,6 +67,7 @@
 	startedAt   time.Time
 	listener    net.Listener
 	http        *http.Server
+	onCrash     func() // may be nil
 	state       *table.Guarded[state]
 }
 
@@ -93,6 +94,10 @@
 	_ = s.http.Close()
 }
 
+// OnCrash sets the function to call when the server stops because of its behaviour Crashing. It must be called before the
+// server is registered.
+func (s *Server) OnCrash(notify func()) { s.onCrash = notify }
+
 // ID returns the server's instance ID.
 func (s *Server) ID() string { return s.id }
 
@@ -194,6 +199,9 @@
 	})
 	defer s.state.With(func(st *state) { st.running-- })
 	if b == Crashing && strings.Contains(r.RequestURI, CrashingTarget) {
+		if s.onCrash != nil {
+			s.onCrash()
+		}
 		s.Close()
 		panic(http.ErrAbortHandler)
 	}
--- a/standin/soak/actions.go
+++ b/standin/soak/actions.go
@@ -49,6 +49,9 @@
 // meaning.
 const firstExtendedSeed = 1000
 
+// firstCrashingSeed is the first seed whose clients also send requests that stop each server that executes them.
+const firstCrashingSeed = 2000
+
 // schedule draws the actions of a seed; they come in bursts and overlap. Even seeds draw no store faults, because
 // the bounds on how soon VMs apply a change are not checked for any VM during these.
 func schedule(seed uint64, length time.Duration) []action {
@@ -93,6 +96,9 @@
 		s.store.Put("servers/noise", s.oddEntry(a.selector))
 	default:
 		live := s.liveServers()
+		if len(live) == 0 {
+			return // requests have stopped all of them
+		}
 		s.runServerAction(a, live[a.selector%uint64(len(live))], until, done)
 	}
 }
@@ -136,6 +142,14 @@
 	}
 }
 
+// calmBehaviour returns the behaviour of a server without a fault.
+func (s *cluster) calmBehaviour() shard.Behaviour {
+	if s.crashing {
+		return shard.Crashing
+	}
+	return shard.Normal
+}
+
 // runServerAction makes one server, or the network path to it, fail.
 func (s *cluster) runServerAction(a action, srv *server, until time.Time, done <-chan struct{}) {
 	s.history.recordServerFault(time.Now(), until)
@@ -156,7 +170,7 @@
 		}
 		srv.SetBehaviour(list[a.selector/7%uint64(len(list))])
 		wait(a.duration, done)
-		srv.SetBehaviour(shard.Normal)
+		srv.SetBehaviour(s.calmBehaviour())
 	case "lapse":
 		s.store.DeleteAndCompact(srv.Key())
 		wait(time.Second, done)
--- a/standin/soak/check.go
+++ b/standin/soak/check.go
@@ -48,6 +48,7 @@
 		}
 		c.checkPlacement(executions)
 	}
+	c.checkCrashing()
 	return c.violations
 }
 
--- a/standin/soak/client.go
+++ b/standin/soak/client.go
@@ -63,10 +63,15 @@
 // send sends one request and returns its record.
 func (c *client) send(route string) clientRequest {
 	n := c.nextID.Add(1)
-	out := clientRequest{id: fmt.Sprintf("%016x", n), vm: c.vm, route: route, path: fmt.Sprintf("/%s/%d", route, n), sentAt: time.Now()}
-	method, body := http.MethodGet, ""
-	if route == "order" {
-		method, body = http.MethodPost, "pump "+out.id
+	return c.sendTo(n, route, fmt.Sprintf("/%s/%d", route, n), "pump "+strconv.FormatUint(n, 10))
+}
+
+// sendTo sends the request with number n to a path; the body is that of an order.
+func (c *client) sendTo(n uint64, route, path, body string) clientRequest {
+	out := clientRequest{id: fmt.Sprintf("%016x", n), vm: c.vm, route: route, path: path, sentAt: time.Now()}
+	method := http.MethodPost
+	if route != "order" {
+		method, body = http.MethodGet, ""
 	}
 	r, err := http.NewRequest(method, "http://"+c.vm.frontAddress.String()+out.path, strings.NewReader(body))
 	if err != nil {
--- a/standin/soak/cluster.go
+++ b/standin/soak/cluster.go
@@ -19,6 +19,7 @@
 
 // cluster is a tier of VMs, each in its own process, with the store and the servers that they reach through proxies.
 type cluster struct {
+	crashing       bool // requests are sent that stop each server that executes them
 	extended       bool // further behaviours of servers and odd entries are drawn
 	store          *kv.Store
 	storeServer    *http.Server
@@ -49,7 +50,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for the store")
 	}
-	s := &cluster{extended: set.Seed >= firstExtendedSeed, store: kv.New(), history: newHistory(), storeAddress: netip.MustParseAddrPort(l.Addr().String())}
+	s := &cluster{extended: set.Seed >= firstExtendedSeed, crashing: set.Seed >= firstCrashingSeed, store: kv.New(), history: newHistory(), storeAddress: netip.MustParseAddrPort(l.Addr().String())}
 	s.storeServer = &http.Server{Handler: s.store}
 	go func() { _ = s.storeServer.Serve(l) }() // returns ErrServerClosed on close
 	for _, service := range services() {
@@ -115,8 +116,12 @@
 	if err != nil {
 		return err
 	}
+	added := &server{Server: srv, proxy: p}
+	if s.crashing {
+		s.startCrashingServer(added)
+	}
 	s.mu.Lock()
-	s.servers = append(s.servers, &server{Server: srv, proxy: p})
+	s.servers = append(s.servers, added)
 	s.mu.Unlock()
 	s.store.Put(srv.Key(), srv.EntryWithAddress(p.address(), "ready"))
 	return nil
--- a/standin/soak/options.go
+++ b/standin/soak/options.go
@@ -31,6 +31,14 @@
 	recoveryTime    = 4 * time.Second  // without faults, after which the other bounds apply to a VM again
 	readyTimeout    = 12 * time.Second // until all VMs are ready, at the start and after the last fault
 
+	// A request that stops servers is sent once per crashingInterval on average. A server that it has stopped is replaced
+	// after crashRecovery. Once it has stopped crashThreshold servers and the VMs have had recoveryTime, it may reach
+	// maxLateCrashes more.
+	crashingInterval = 300 * time.Millisecond
+	crashRecovery    = 2 * time.Second
+	crashThreshold   = 3
+	maxLateCrashes   = 3
+
 	// boundSlack is added to the bounds, because timers and schedulers are late on a busy host.
 	boundSlack = time.Second
 )
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -76,6 +76,9 @@
 // startClients starts the clients of every VM; they run until done is closed.
 func (s *cluster) startClients(clients *sync.WaitGroup, seed uint64, done <-chan struct{}) {
 	var nextID atomic.Uint64
+	if s.crashing {
+		clients.Go(func() { s.sendCrashing(seed, &nextID, done) })
+	}
 	for i, v := range s.vms {
 		for j := range clientsPerVM {
 			c := newClient(v, seed+uint64(100*i+j), &nextID, s.history.recordRequest)
