Log the limits that upstreams name, and count these upstreams

An upstream in need names in its answers how many requests a second it takes from all VMs together. No VM read that, so neither log nor metric showed which VMs had been told, and when. Nothing is enforced yet.

--- a/event/event.go
+++ b/event/event.go
@@ -35,6 +35,7 @@
 	EntryRejected    // an entry of the platform's store is invalid
 	UpstreamDraining // an upstream said in a response, to this VM or to another one, that it drains
 	UpstreamResting  // an upstream asked this VM for no requests for a while
+	UpstreamLimited  // an upstream began or ceased to name a limit for the requests of all VMs
 	CrashSuspected   // an upstream crashed while running a request
 	StoreLost        // the platform's store stopped answering
 	StoreRecovered   // the platform's state is available again
@@ -52,7 +53,7 @@
 var kindNames = [kindCount]string{
 	"none", "refused", "failed", "partial", "attempt", "hedged", "abandoned", "part-cancelled", "relayed", "relay-failed", "answered",
 	"started", "stopping", "stopped", "reloaded", "ready", "config-accepted", "config-rejected",
-	"zone-evacuated", "isolated", "server-changed", "entry-rejected", "upstream-draining", "upstream-resting", "crash-suspected", "store-lost", "store-regained", "following", "peer-lost", "peer-found",
+	"zone-evacuated", "isolated", "server-changed", "entry-rejected", "upstream-draining", "upstream-resting", "upstream-limited", "crash-suspected", "store-lost", "store-regained", "following", "peer-lost", "peer-found",
 	"paused", "panic", "dropped", "problem",
 }
 
@@ -96,6 +97,7 @@
 	InFlight      Key = "running"  // requests in flight at the VM
 	Status        Key = "status"   // HTTP status
 	Reason        Key = "reason"   // reason for the decision, as text
+	Limit         Key = "limit"    // requests a second that an upstream takes from all VMs, 0 for no limit
 	Count         Key = "count"    // number of items that the event is about
 	Peer          Key = "peer"     // address of another VM
 	Address       Key = "address"  // network address
--- a/event/story/story.go
+++ b/event/story/story.go
@@ -149,6 +149,7 @@
 type vmState struct {
 	config     *Line
 	servers    map[string]Line // by ID
+	limits     map[string]Line // latest limit that an upstream named or lifted, by ID
 	notices    map[string]Line // latest drain or rest that an upstream told, by ID
 	zones      map[string]Line // by zone
 	conditions map[string]Line // by event: store outage, isolation, pause, shutdown
@@ -156,7 +157,7 @@
 }
 
 func newVMState() *vmState {
-	return &vmState{servers: map[string]Line{}, notices: map[string]Line{}, zones: map[string]Line{}, conditions: map[string]Line{}, reported: map[string]bool{}}
+	return &vmState{servers: map[string]Line{}, notices: map[string]Line{}, limits: map[string]Line{}, zones: map[string]Line{}, conditions: map[string]Line{}, reported: map[string]bool{}}
 }
 
 // update records a line that does not belong to the request.
@@ -170,6 +171,8 @@
 		st.servers[l.Fields[string(event.Server)]] = l
 	case event.UpstreamDraining.String(), event.UpstreamResting.String():
 		st.notices[l.Fields[string(event.Server)]] = l
+	case event.UpstreamLimited.String():
+		st.limits[l.Fields[string(event.Server)]] = l
 	case event.ZoneEvacuated.String():
 		st.zones[l.Fields[string(event.Zone)]] = l
 	case event.VMIsolated.String():
@@ -202,6 +205,9 @@
 			add(zone)
 		}
 	}
+	if limit, ok := st.limits[l.Fields[string(event.Server)]]; ok {
+		add(limit)
+	}
 	if notice, ok := st.notices[l.Fields[string(event.Server)]]; ok {
 		add(notice)
 	}
--- a/forward/notice.go
+++ b/forward/notice.go
@@ -17,6 +17,13 @@
 
 // RecordNotice applies what an upstream has said about itself in a response to this VM.
 func (vm *VM) RecordNotice(s route.Server, n replica.Notice) {
+	if vm.replicas.RecordLimit(time.Now(), s, n.Limit) {
+		vm.events.Record(event.UpstreamLimited, event.F(event.Server, s.ID), event.F(event.Service, s.Service), event.F(event.Zone, s.Zone),
+			event.F(event.Limit, n.Limit))
+	}
+	if !n.Draining && n.Rest == 0 {
+		return
+	}
 	if !vm.replicas.RecordNotice(time.Now(), s, n) {
 		return
 	}
--- a/replica/notice.go
+++ b/replica/notice.go
@@ -12,6 +12,7 @@
 type Notice struct {
 	Draining bool          // it is about to leave
 	Rest     time.Duration // time for which it wants no requests from this VM; 0 if it does not say
+	Limit    float64       // requests a second that it takes from all VMs together; 0 for no limit
 }
 
 // notices remembers the notices of upstreams. They outlive the entry of the upstream in the table, which may be removed
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -152,7 +152,7 @@
 
 // Counts are the numbers of all known replicas and of those in each condition. A replica may be in several conditions.
 type Counts struct {
-	Known, Draining, Resting, Evacuated, Cold, Ejected int
+	Known, Draining, Resting, Limited, Evacuated, Cold, Ejected int
 }
 
 // Counts returns the numbers of replicas by condition.
--- a/replica/stat.go
+++ b/replica/stat.go
@@ -15,6 +15,7 @@
 	removeAt      time.Time // zero unless its entry was deleted
 	wrongInstance bool      // another upstream answered at its address
 	notice        serverNotice
+	limit         requestLimit
 	pending       []pendingAttempt
 	coldRequests  []time.Time
 
--- a/replica/state.go
+++ b/replica/state.go
@@ -187,6 +187,9 @@
 		if r.resting(now) {
 			c.Resting++
 		}
+		if r.limit.rate > 0 {
+			c.Limited++
+		}
 		if st.evacuated[r.server.Zone] {
 			c.Evacuated++
 		}
