Keep to the limit that an upstream names for all VMs together

Cause: the header was not read, so that no VM knew the limit. Ruled out by the fix: that VMs which each keep to the limit exceed it together, as the shares add up to one, and that hedges, retries or parts of queries pass it, as all attempts are started in one place (replica.StartAttempt).

Each VM keeps a token bucket at its share of the limit. An upstream without a token is left out like one that rests. Four fifths of the limit belong to the VMs of the upstream's zone, which send most of its requests.

--- a/aggregator/aggregator.go
+++ b/aggregator/aggregator.go
@@ -28,6 +28,9 @@
 	Members      int  // VMs in the tier, at least 1
 	Aggregators  int  // aggregators in the tier; 0 in a small tier, where every VM is one
 	IsAggregator bool // this VM is an aggregator
+
+	ZoneMembers     int // VMs in the zone of this VM, itself included
+	ZoneAggregators int // aggregators in the zone of this VM
 }
 
 // SingleUpstream returns the fraction of a limit that this VM may use for requests to a single upstream.
@@ -48,6 +51,23 @@
 	}
 }
 
+// Requests returns the fractions of an upstream's request limit that this VM may use, at an upstream in its own zone and at
+// one in another zone. VMs send most requests to upstreams in their zone, so that these get most of the limit.
+func (s LimitShares) Requests(sharded bool) (sameZone, otherZone float64) {
+	total, inTier, inZone := 1.0, s.Members, s.ZoneMembers
+	if sharded && s.Aggregators > 0 {
+		total, inTier, inZone = aggregatorShare, s.Aggregators, s.ZoneAggregators
+		if !s.IsAggregator {
+			return (1 - aggregatorShare) * s.SingleUpstream(), (1 - aggregatorShare) * s.SingleUpstream()
+		}
+	}
+	inTier, inZone = max(inTier, 1), max(inZone, 1)
+	if inZone >= inTier {
+		return total / float64(inTier), total / float64(inTier)
+	}
+	return total * sameZoneShare / float64(inZone), total * (1 - sameZoneShare) / float64(inTier)
+}
+
 // ColdStartVMs returns the number of VMs that share the request limit of an upstream during its cold start.
 // In a large tier, an aggregator divides the limit by the number of aggregators only, because a share well below
 // one request per second is useless.
--- a/aggregator/aggregator_test.go
+++ b/aggregator/aggregator_test.go
@@ -153,6 +153,27 @@
 	}
 }
 
+// TestRequestShares guards against VMs that together exceed the request limit of an upstream, wherever it is, in small and
+// in large tiers.
+func TestRequestShares(t *testing.T) {
+	for _, c := range []struct{ members, zoneMembers, aggregators, zoneAggregators int }{
+		{1, 1, 0, 0}, {6, 1, 0, 0}, {6, 3, 0, 0}, {8, 8, 0, 0}, {91, 31, 6, 2}, {91, 31, 2, 2}, {9000, 500, 38, 2},
+	} {
+		s := aggregator.LimitShares{Members: c.members, ZoneMembers: c.zoneMembers, Aggregators: c.aggregators, ZoneAggregators: c.zoneAggregators}
+		for _, sharded := range []bool{false, true} {
+			s.IsAggregator = false
+			sameZone, otherZone := s.Requests(sharded)
+			all := float64(c.zoneMembers-c.zoneAggregators)*sameZone + float64(c.members-c.zoneMembers-c.aggregators+c.zoneAggregators)*otherZone
+			s.IsAggregator = true
+			sameZone, otherZone = s.Requests(sharded)
+			all += float64(c.zoneAggregators)*sameZone + float64(c.aggregators-c.zoneAggregators)*otherZone
+			if all > 1.0000001 {
+				t.Errorf("%+v, sharded %t: got %.3f of the limit, want at most 1", c, sharded, all)
+			}
+		}
+	}
+}
+
 // ExampleSelect shows that the VMs with the most cores in each zone are selected.
 func ExampleSelect() {
 	vms := []aggregator.VM{
--- a/aggregator/memberlist.go
+++ b/aggregator/memberlist.go
@@ -99,6 +99,24 @@
 	return table.WithResult(l.state, func(s *memberList) int { return s.count(now) })
 }
 
+// LimitShares returns how the limits of upstreams are divided among the VMs.
+func (l *MemberList) LimitShares(now time.Time) LimitShares {
+	return table.WithResult(l.state, func(s *memberList) LimitShares {
+		aggregators := s.aggregators(now)
+		shares := LimitShares{Members: s.count(now), Aggregators: len(aggregators), IsAggregator: Contains(aggregators, s.self.Address)}
+		for _, a := range aggregators {
+			if a.Zone == s.self.Zone {
+				shares.ZoneAggregators++
+			}
+		}
+		shares.ZoneMembers = s.membersByZone(now)[s.self.Zone]
+		if now.Sub(s.started) < discoveryPeriod {
+			shares.ZoneMembers = shares.Members // those of the zone are not known yet
+		}
+		return shares
+	})
+}
+
 // ZoneCount returns the number of VMs known in this VM's zone, itself included.
 func (l *MemberList) ZoneCount(now time.Time) int {
 	return table.WithResult(l.state, func(s *memberList) int { return s.seenByZone(now)[s.self.Zone] })
--- a/aggregator/options.go
+++ b/aggregator/options.go
@@ -35,6 +35,9 @@
 	// assumedMembers is the minimum tier size assumed during discoveryPeriod. Small tiers have 6 to 8 VMs.
 	assumedMembers = 8
 
+	// sameZoneShare is the fraction of an upstream's request limit that is reserved for the VMs of its zone.
+	sameZoneShare = 0.8
+
 	// aggregatorShare is the fraction of the limits for sharded queries that is reserved for the aggregators.
 	aggregatorShare = 0.8
 
--- a/forward/notice.go
+++ b/forward/notice.go
@@ -56,8 +56,8 @@
 	vm.events.Record(event.UpstreamDraining, event.F(event.Server, server), event.F(event.Reason, source))
 }
 
-// restDelay returns the time until enough resting upstreams may receive requests again to serve the route, or 0 if
-// their rest is not what the route lacks.
+// restDelay returns the time until enough upstreams that rest, or have reached their request limit, may receive requests
+// again to serve the route, or 0 if they are not what the route lacks.
 func (q *query) restDelay(now time.Time) time.Duration {
 	missing := requiredShards(q.minCoverage(), len(q.shards)) - len(q.shards)
 	var ends []time.Time
@@ -66,7 +66,7 @@
 			continue
 		}
 		missing++
-		if rests := q.vm.replicas.RestEnds(now, shard.Service, q.route.Regions); len(rests) > 0 {
+		if rests := q.vm.replicas.NextAvailable(now, shard.Service, q.route.Regions); len(rests) > 0 {
 			ends = append(ends, rests[0])
 		}
 	}
--- a/forward/query.go
+++ b/forward/query.go
@@ -87,7 +87,7 @@
 	}
 	if reachable == 0 || (q.req.Shards == nil && reachable < requiredShards(p.MinimumCoverage, len(p.Shards))) {
 		if delay := q.restDelay(now); delay > 0 {
-			return refusal{code: result.UpstreamShed, reason: "upstreams have asked for no requests", retryAfter: delay}
+			return refusal{code: result.UpstreamShed, reason: "upstreams have asked for no more requests", retryAfter: delay}
 		}
 		return refusal{code: result.Unreachable, reason: q.vm.unreachableReason(now, reachable, len(p.Shards))}
 	}
@@ -291,7 +291,7 @@
 		return
 	}
 	service := q.cfg.Services[q.shards[a.Shard].Service]
-	handle, ok := q.vm.replicas.StartAttempt(now, a.Server, service)
+	handle, ok := q.vm.replicas.StartAttempt(now, a.Server, service, q.limitShare())
 	if !ok {
 		q.failUnsent(a, result.UpstreamLeaving)
 		return
@@ -480,6 +480,13 @@
 	return max(int(float64(s.MaxConnections)*share), 1)
 }
 
+// limitShare returns the fraction of the request limits of upstreams that this VM may use for queries of this kind.
+func (q *query) limitShare() replica.LimitShare {
+	shares := table.WithResult(q.vm.state, func(st *vmState) aggregator.LimitShares { return st.shares })
+	sameZone, otherZone := shares.Requests(q.route.Sharded())
+	return replica.LimitShare{SameZone: sameZone, OtherZone: otherZone}
+}
+
 // retryBudgets returns the budgets that the request's retries and hedges draw from.
 func (q *query) retryBudgets() *retryBudgets {
 	if q.route.Sharded() {
--- a/member/links.go
+++ b/member/links.go
@@ -41,10 +41,8 @@
 
 // publishTier updates the table of aggregators, and tells the listener if the division of the limits has changed.
 func (m *Member) publishTier(now time.Time) {
-	aggregators := m.members.Aggregators(now)
 	m.aggregators.SetAggregators(m.members.AggregatorLinks(now))
-	shares := aggregator.LimitShares{Members: m.members.Count(now), Aggregators: len(aggregators)}
-	shares.IsAggregator = aggregator.Contains(aggregators, m.self.Address)
+	shares := m.members.LimitShares(now)
 	changed := false
 	m.peerState.With(func(s *peerState) {
 		changed = shares != s.shares
--- a/replica/notice.go
+++ b/replica/notice.go
@@ -92,18 +92,19 @@
 	return isNew
 }
 
-// RestEnds returns the times at which the resting replicas of the service may receive requests again, earliest first.
-// Replicas that may not receive requests for another reason are left out.
-func (t *Table) RestEnds(now time.Time, service string, regions []string) []time.Time {
+// NextAvailable returns the times at which the replicas of the service that rest, or have reached their request limit, may
+// receive requests of this VM again, earliest first. Replicas that may not receive requests for another reason are left
+// out.
+func (t *Table) NextAvailable(now time.Time, service string, regions []string) []time.Time {
 	return table.WithResult(t.state, func(st *state) []time.Time {
-		var ends []time.Time
+		var times []time.Time
 		for _, r := range st.services[service] {
-			if r.resting(now) && st.eligible(r.notice.restUntil, r, regions) {
-				ends = append(ends, r.notice.restUntil)
+			if at := r.availableAt(now); at.After(now) && st.eligible(at, r, regions) {
+				times = append(times, at)
 			}
 		}
-		slices.SortFunc(ends, time.Time.Compare)
-		return ends
+		slices.SortFunc(times, time.Time.Compare)
+		return times
 	})
 }
 
--- a/replica/options.go
+++ b/replica/options.go
@@ -46,6 +46,17 @@
 	noticeRetention = 10 * time.Minute
 	maxNotices      = 4096
 
+	// limitBurst is the time over which a VM may save up its share of an upstream's request limit. Longer bursts of all
+	// VMs together would exceed the limit for seconds.
+	limitBurst = 250 * time.Millisecond
+
+	// minLimitRate is the least number of requests a second that a VM may send to an upstream with a request limit. Its
+	// answers are what tells this VM that the limit has ended.
+	minLimitRate = 0.1
+
+	// tokenTolerance is the part of a token that may be missing because of rounding.
+	tokenTolerance = 1e-6
+
 	// coldWindow is the period over which the requests to a cold upstream are limited.
 	coldWindow = time.Second
 )
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -130,9 +130,9 @@
 }
 
 // StartAttempt registers an attempt at the replica. It returns false if the replica no longer accepts requests,
-// or if it is cold and this VM has used up its share of the allowed rate.
-func (t *Table) StartAttempt(now time.Time, id string, service route.Service) (AttemptHandle, bool) {
-	return table.WithResults(t.state, func(st *state) (AttemptHandle, bool) { return st.startAttempt(now, id, service) })
+// or if it is cold or has named a request limit and this VM has used up its share of the allowed rate.
+func (t *Table) StartAttempt(now time.Time, id string, service route.Service, share LimitShare) (AttemptHandle, bool) {
+	return table.WithResults(t.state, func(st *state) (AttemptHandle, bool) { return st.startAttempt(now, id, service, share) })
 }
 
 // EndAttempt records the result of an attempt. If it shows that the upstream has crashed, EndAttempt returns the
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -22,6 +22,7 @@
 	table   *replica.Table
 	handles map[string]replica.AttemptHandle
 	rand    *rand.Rand
+	share   replica.LimitShare
 }
 
 // TestScripts guards against requests to an upstream that must not or cannot serve them: one that is draining, removed,
@@ -87,9 +88,25 @@
 		return fmt.Sprintln("new", h.table.RecordNotice(now, server([]string{args[0], "", "", args[1]}), notice(args[2])))
 	case "drained":
 		return fmt.Sprintln("new", h.table.RecordDraining(now, args[0], server([]string{args[0], "", "", args[1]}).StartedAt))
+	case "share": // fractions of request limits that this VM may use, in its zone and in others
+		fmt.Sscan(args[0], &h.share.SameZone)
+		fmt.Sscan(args[1], &h.share.OtherZone)
+	case "limit": // requests a second that the server takes from all VMs
+		var rate float64
+		fmt.Sscan(args[1], &rate)
+		return fmt.Sprintln("changed", h.table.RecordLimit(now, server([]string{args[0], "", ""}), rate))
+	case "load": // requests that a server would get for the seconds args[1], one every ms
+		var seconds, started int
+		fmt.Sscan(args[1], &seconds)
+		for n := range seconds * 1000 {
+			if _, ok := h.table.StartAttempt(now.Add(time.Duration(n)*time.Millisecond), args[0], route.Service{}, h.share); ok {
+				started++
+			}
+		}
+		return fmt.Sprintln("started", started)
 	case "rests":
 		var delays []time.Duration
-		for _, at := range h.table.RestEnds(now, args[0], nil) {
+		for _, at := range h.table.NextAvailable(now, args[0], nil) {
 			delays = append(delays, at.Sub(now))
 		}
 		return fmt.Sprintln("rests end after", delays)
@@ -146,7 +163,7 @@
 
 // start starts the attempt named args[0] at the replica args[1].
 func (h *harness) start(now time.Time, args []string) string {
-	handle, ok := h.table.StartAttempt(now, args[1], route.Service{})
+	handle, ok := h.table.StartAttempt(now, args[1], route.Service{}, h.share)
 	h.handles[args[0]] = handle
 	if !ok {
 		return "not started\n"
@@ -161,7 +178,7 @@
 	fmt.Sscan(args[1], &n)
 	fmt.Sscan(args[2], &rate)
 	for range n {
-		if _, ok := h.table.StartAttempt(now, args[0], route.Service{WarmupRate: rate}); ok {
+		if _, ok := h.table.StartAttempt(now, args[0], route.Service{WarmupRate: rate}, h.share); ok {
 			started++
 		}
 	}
--- a/replica/state.go
+++ b/replica/state.go
@@ -87,7 +87,7 @@
 	var healthy, ejected, unreachable []string
 	for _, r := range st.services[service] {
 		switch {
-		case !st.eligible(now, r, regions):
+		case !st.eligible(now, r, regions) || r.limited(now):
 		case st.unreachable(now, r.server.Zone):
 			unreachable = append(unreachable, r.server.ID)
 		case now.Before(r.ejectedUntil):
@@ -126,7 +126,7 @@
 
 func (st *state) cost(now time.Time, id string) float64 {
 	r, ok := st.replicas[id]
-	if !ok || !st.eligible(now, r, nil) {
+	if !ok || !st.eligible(now, r, nil) || r.limited(now) {
 		return unusableCost
 	}
 	cost := r.cost(now)
@@ -139,11 +139,16 @@
 	return cost
 }
 
-func (st *state) startAttempt(now time.Time, id string, service route.Service) (AttemptHandle, bool) {
+func (st *state) startAttempt(now time.Time, id string, service route.Service, share LimitShare) (AttemptHandle, bool) {
 	r, ok := st.replicas[id]
-	if !ok || !st.eligible(now, r, nil) || !st.admitCold(now, r, service) {
+	if !ok || !st.eligible(now, r, nil) || r.limited(now) || !st.admitCold(now, r, service) {
 		return AttemptHandle{}, false
 	}
+	if r.server.Zone == st.settings.Zone {
+		r.limit.take(now, share.SameZone)
+	} else {
+		r.limit.take(now, share.OtherZone)
+	}
 	st.zone(r.server.Zone).recordAttempt(now)
 	st.lastAttempt++
 	r.pending = append(r.pending, pendingAttempt{st.lastAttempt, now})
--- a/standin/shard/shard.go
+++ b/standin/shard/shard.go
@@ -39,9 +39,13 @@
 	EndlessHead      Behaviour = "endless-head" // executes the request and sends a header that does not end
 	EndlessBody      Behaviour = "endless-body" // executes the request and sends a body that does not end
 	LateCopy         Behaviour = "copy"         // responds, and sends a copy of the response a little later
+	Limiting         Behaviour = "limit"        // responds, and names RequestLimit
 	Crashing         Behaviour = "crash"        // stops for good when it begins to execute a request for a CrashingTarget
 )
 
+// RequestLimit is the number of requests a second, of all VMs together, that a server with the behaviour Limiting names.
+const RequestLimit = 4
+
 // CrashingTarget is the part of a request target that makes a server with the behaviour Crashing stop.
 const CrashingTarget = "crashing"
 
@@ -253,6 +257,9 @@
 		s.respondRaw(w, b, Stamp(s.id, requestID, record), requestID, record)
 		return
 	case Unsigned:
+	case Limiting:
+		w.Header().Set("Server-Limit", strconv.Itoa(RequestLimit))
+		w.Header().Set("X-Pistachioshore-Response-Stamp", Stamp(s.id, requestID, record))
 	case Leaving:
 		w.Header().Set("Server-Leaving", "1")
 		fallthrough
