Answer the requests in flight at the end of a planned stop

Report of other operators: in a planned stop, requests were taken, passed on and cut with no answer at the end of the grace period, among them some that may not be repeated. It could happen here: a request that a server was still running 4.8 s after SIGTERM lost its connection when the process ended, although the grace period is 6 s.

Cause: the order of the stop has an action that ends the requests in flight, and the platform's program ignored it. It also came early, because the reserves of the stop are those of a VM that hands over its upstreams.

New requests are refused from 2 s on, as before. The reserves are settings of the stop.

--- a/forward/parts.go
+++ b/forward/parts.go
@@ -124,6 +124,8 @@
 			isDue = true
 		case <-deadlinePassed.C:
 			return s.merge(answers)
+		case <-s.vm.ending:
+			return s.merge(answers)
 		case <-ctx.Done():
 			s.vm.stats.recordDisconnect()
 			s.vm.events.Record(event.RequestAbandoned, s.eventFields()...)
--- a/forward/query.go
+++ b/forward/query.go
@@ -207,7 +207,7 @@
 // run sends the request and waits for the answer or the cancellation of ctx.
 func (q *query) run(ctx context.Context) Answer {
 	q.apply(q.state.Start(time.Now()))
-	confirmed := q.req.Confirmed
+	confirmed, ending := q.req.Confirmed, q.vm.ending
 	progress := q.progressTimer()
 	defer progress.Stop()
 	for {
@@ -221,6 +221,9 @@
 		case <-confirmed:
 			confirmed = nil
 			q.apply(q.state.ReleaseRetries(time.Now()))
+		case <-ending:
+			ending = nil
+			q.apply(q.state.End(time.Now()))
 		case <-ctx.Done():
 			q.recordLate()
 			q.cancelAll()
--- a/forward/vm.go
+++ b/forward/vm.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"pistachioshore.dev/aggregator"
@@ -35,6 +36,8 @@
 	onCrash      func(c quarantine.Crash)                 // reports a crash to other VMs
 	onDraining   func(server string, startedAt time.Time) // reports a draining upstream to other VMs
 
+	ending  chan struct{} // closed when the requests in flight are to end
+	endOnce sync.Once
 	workers *pool.Pool[func()]
 	timers  *pool.Timers[func()]
 	state   *table.Guarded[vmState]
@@ -64,6 +67,7 @@
 		crashTracker: quarantine.NewCrashTracker(quarantine.DefaultCrashTrackerSettings()),
 		onCrash:      func(quarantine.Crash) {},
 		onDraining:   func(string, time.Time) {},
+		ending:       make(chan struct{}),
 		state:        table.NewGuarded(table.RankPending, vmState{shares: aggregator.LimitShares{Members: 1}}),
 	}
 	vm.workers = pool.New(s.Workers, func(task func()) { task() })
@@ -105,6 +109,11 @@
 	vm.state.With(func(st *vmState) { st.refusing = true })
 }
 
+// EndRequests ends the requests in flight with what has been received for them, as at their deadlines.
+func (vm *VM) EndRequests() {
+	vm.endOnce.Do(func() { close(vm.ending) })
+}
+
 // InFlight returns the number of requests in flight.
 func (vm *VM) InFlight() int {
 	return table.WithResult(vm.state, func(st *vmState) int { return st.inFlight })
--- a/gather/query.go
+++ b/gather/query.go
@@ -133,6 +133,17 @@
 	})
 }
 
+// End ends the query with the results received so far, as at its deadline.
+func (q *Query[T]) End(now time.Time) Step {
+	return table.WithResult(q.state, func(s *state[T]) Step {
+		var st Step
+		if !s.done {
+			s.finish(now, &st)
+		}
+		return st
+	})
+}
+
 // Stop ends the query without an answer. Later calls return an empty Step.
 func (q *Query[T]) Stop() {
 	q.state.With(func(s *state[T]) { s.done = true })
--- a/shutdown/machine.go
+++ b/shutdown/machine.go
@@ -18,6 +18,9 @@
 	startedAt   time.Time
 	balancerLag time.Duration
 	gracePeriod time.Duration
+
+	drainReserve time.Duration
+	endReserve   time.Duration
 }
 
 // New returns a state machine in phase Serving.
@@ -27,7 +30,16 @@
 	if s.GracePeriod > 0 {
 		gracePeriod = min(max(s.GracePeriod, minGracePeriod), MaxGracePeriod)
 	}
-	return &StateMachine{state: table.NewGuarded(table.RankShutdown, state{balancerLag: balancerLag, gracePeriod: gracePeriod})}
+	drainReserve, endReserve := defaultDrainReserve, defaultEndReserve
+	if s.DrainReserve > 0 {
+		drainReserve = min(s.DrainReserve, gracePeriod)
+	}
+	if s.EndReserve > 0 {
+		endReserve = s.EndReserve
+	}
+	return &StateMachine{state: table.NewGuarded(table.RankShutdown, state{
+		balancerLag: balancerLag, gracePeriod: gracePeriod, drainReserve: drainReserve, endReserve: min(endReserve, drainReserve),
+	})}
 }
 
 // Start starts the shutdown. Further calls have no effect.
@@ -85,11 +97,11 @@
 	case Announcing:
 		return s.startedAt.Add(s.balancerLag)
 	case HandingOver:
-		return s.startedAt.Add(min(s.balancerLag+handoverTimeout, s.gracePeriod-drainReserve))
+		return s.startedAt.Add(min(s.balancerLag+handoverTimeout, s.gracePeriod-s.drainReserve))
 	case Draining:
-		return s.startedAt.Add(s.gracePeriod - drainReserve)
+		return s.startedAt.Add(s.gracePeriod - s.drainReserve)
 	case EndingRequests:
-		return s.startedAt.Add(s.gracePeriod - endReserve)
+		return s.startedAt.Add(s.gracePeriod - s.endReserve)
 	default:
 		return s.startedAt.Add(s.gracePeriod)
 	}
--- a/shutdown/shutdown_test.go
+++ b/shutdown/shutdown_test.go
@@ -37,7 +37,10 @@
 func TestBounds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		lag := time.Duration(rapid.IntRange(-1, 5).Draw(t, "lag")) * time.Second
-		m := shutdown.New(shutdown.Settings{BalancerLag: lag})
+		reserve := func(name string) time.Duration {
+			return time.Duration(rapid.IntRange(-1, 10).Draw(t, name)) * 100 * time.Millisecond
+		}
+		m := shutdown.New(shutdown.Settings{BalancerLag: lag, DrainReserve: reserve("drain reserve"), EndReserve: reserve("end reserve")})
 		stuck := rapid.MapOf(rapid.SampledFrom([]string{"own", "running", "handovers", "flush"}), rapid.Just(1)).Draw(t, "stuck")
 		now := start
 		st := m.Start(now)
