--- a/transport/http1/pool_test.go
+++ b/transport/http1/pool_test.go
@@ -129,7 +129,7 @@
 // ones, requests that are sent twice, and responses that are read without end, when an upstream answers twice, late,
 // early, in part, without end or not at all.
 func TestScripts(t *testing.T) {
-	datadriven.Walk(t, "testdata", runScript)
+	datadriven.Walk(t, "testdata/scripts", runScript)
 }
 
 // runScript runs the scripts of one file.
