Let the soak not register a server again that drains or has crashed

The logs show that no VM saw it drain: the store listed it as ready with revision 19, although it had been started before revision 15. The VMs did what the store said; the fault was the soak's.

An entry that lapsed is now written again only if the server neither drains nor has crashed. The check is unchanged.

--- a/standin/soak/actions.go
+++ b/standin/soak/actions.go
@@ -174,12 +174,22 @@
 	case "lapse":
 		s.store.DeleteAndCompact(srv.Key())
 		wait(time.Second, done)
-		s.store.Put(srv.Key(), srv.EntryWithAddress(srv.proxy.address(), "ready"))
+		s.registerAgain(srv)
 	case "server-crash", "drain":
 		s.replace(a.kind == "drain", srv, done)
 	}
 }
 
+// registerAgain writes the entry of a server again, unless the server drains or has crashed meanwhile: its entry must not
+// say ready then.
+func (s *cluster) registerAgain(srv *server) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !srv.removed {
+		s.store.Put(srv.Key(), srv.EntryWithAddress(srv.proxy.address(), "ready"))
+	}
+}
+
 // replace drains or crashes a server, after it has started a new one of the same service.
 func (s *cluster) replace(planned bool, srv *server, done <-chan struct{}) {
 	s.mu.Lock()
