--- a/standin/soak/actions.go
+++ b/standin/soak/actions.go
@@ -192,11 +192,7 @@
 
 // replace drains or crashes a server, after it has started a new one of the same service.
 func (s *cluster) replace(planned bool, srv *server, done <-chan struct{}) {
-	s.mu.Lock()
-	alreadyRemoved := srv.removed
-	srv.removed = true
-	s.mu.Unlock()
-	if alreadyRemoved {
+	if !s.markRemoved(srv) {
 		return
 	}
 	if err := s.addServer(srv.Service(), srv.Zone()); err != nil {
--- a/standin/soak/cluster.go
+++ b/standin/soak/cluster.go
@@ -199,6 +199,15 @@
 	return slices.DeleteFunc(slices.Clone(s.servers), func(srv *server) bool { return srv.removed })
 }
 
+// markRemoved records that a server drains or has crashed. It returns false if that was recorded before.
+func (s *cluster) markRemoved(srv *server) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	alreadyRemoved := srv.removed
+	srv.removed = true
+	return !alreadyRemoved
+}
+
 // close stops everything that the soak started.
 func (s *cluster) close() {
 	for _, v := range s.vms {
--- a/standin/soak/crashing.go
+++ b/standin/soak/crashing.go
@@ -42,11 +42,7 @@
 		now := time.Now()
 		srv.proxy.close()
 		s.history.recordServerFault(now, now)
-		s.mu.Lock()
-		alreadyRemoved := srv.removed
-		srv.removed = true
-		s.mu.Unlock()
-		if alreadyRemoved {
+		if !s.markRemoved(srv) {
 			return
 		}
 		time.AfterFunc(crashRecovery, func() {
