--- a/review/lab/server.go
+++ b/review/lab/server.go
@@ -20,6 +20,8 @@
 	Work                       func(r *http.Request) time.Duration
 	// Copy reports whether an answer is sent a second time, late: where the next answer on the connection is expected.
 	Copy func(status int) bool
+	// Fail returns the status with which a request that has run fails, or 0 if it succeeds.
+	Fail func(stamp string) int
 	// Shed returns whether to turn a request away, and the Retry-After to send with it, 0 for none.
 	Shed func() (bool, time.Duration)
 
@@ -45,7 +47,7 @@
 	s := &Server{
 		ID: id, Service: service, Zone: zone, Slots: slots, Queue: queue, record: r, slots: make(chan struct{}, slots),
 		Work: func(*http.Request) time.Duration { return 20 * time.Millisecond },
-		Copy: func(int) bool { return false }, Shed: func() (bool, time.Duration) { return false, 0 },
+		Copy: func(int) bool { return false }, Fail: func(string) int { return 0 }, Shed: func() (bool, time.Duration) { return false, 0 },
 	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	unable(err)
@@ -188,6 +190,10 @@
 		s.record.Line("%s drops request %s, its connection has closed", s.ID, id)
 		return nil, 0
 	}
+	if status := s.Fail(stamp); status != 0 {
+		s.record.Line("%s fails request %s with %d", s.ID, id, status)
+		return s.encode(status, id, stamp, nil, []byte("the query cannot be processed by this server")), status
+	}
 	return s.encode(200, id, stamp, nil, s.body(id)), 200
 }
 
