--- a/review/lab/server.go
+++ b/review/lab/server.go
@@ -20,6 +20,8 @@
 	Work                       func(r *http.Request) time.Duration
 	// Copy reports whether an answer is sent a second time, late: where the next answer on the connection is expected.
 	Copy func(status int) bool
+	// Endless reports whether a request that has run is answered with bytes that do not end.
+	Endless func() bool
 	// Fail returns the status with which a request that has run fails, or 0 if it succeeds.
 	Fail func(stamp string) int
 	// Shed returns whether to turn a request away, and the Retry-After to send with it, 0 for none.
@@ -47,7 +49,8 @@
 	s := &Server{
 		ID: id, Service: service, Zone: zone, Slots: slots, Queue: queue, record: r, slots: make(chan struct{}, slots),
 		Work: func(*http.Request) time.Duration { return 20 * time.Millisecond },
-		Copy: func(int) bool { return false }, Fail: func(string) int { return 0 }, Shed: func() (bool, time.Duration) { return false, 0 },
+		Copy: func(int) bool { return false }, Fail: func(string) int { return 0 },
+		Endless: func() bool { return false }, Shed: func() (bool, time.Duration) { return false, 0 },
 	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	unable(err)
@@ -136,6 +139,10 @@
 		if _, err := c.Write(answer); err != nil {
 			return
 		}
+		if status == endlessStatus {
+			writeForever(c)
+			return
+		}
 		if s.Copy(status) {
 			copied = answer
 		}
@@ -190,6 +197,10 @@
 		s.record.Line("%s drops request %s, its connection has closed", s.ID, id)
 		return nil, 0
 	}
+	if s.Endless() {
+		s.record.Line("%s answers request %s with bytes that do not end", s.ID, id)
+		return []byte("HTTP/1.1 200 OK\r\nX-Pistachioshore-Request-Id: " + id + "\r\nX-Pistachioshore-Response-Stamp: " + stamp + "\r\n\r\n"), endlessStatus
+	}
 	if status := s.Fail(stamp); status != 0 {
 		s.record.Line("%s fails request %s with %d", s.ID, id, status)
 		return s.encode(status, id, stamp, nil, []byte("the query cannot be processed by this server")), status
@@ -266,3 +277,17 @@
 	b.Write(body)
 	return []byte(b.String())
 }
+
+// endlessStatus stands for an answer whose body does not end.
+const endlessStatus = -1
+
+// writeForever writes 1 MB a second until the connection is closed.
+func writeForever(c net.Conn) {
+	chunk := make([]byte, 10_000)
+	for {
+		if _, err := c.Write(chunk); err != nil {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
