--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
-exec review/bin/lab rest review/5
+exec review/bin/lab endless review/5
--- a/review/lab/endless.go
+++ b/review/lab/endless.go
@@ -60,7 +60,7 @@
 	work.Go(func() {
 		defer close(traffic)
 		var sends sync.WaitGroup
-		for end := time.Now().Add(16 * time.Second); time.Now().Before(end); time.Sleep(8 * time.Millisecond) {
+		for end := time.Now().Add(16 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
 			sends.Go(func() {
 				r := client.Send(vm, "POST", "/bon/2f", 5*time.Second, "order")
 				mu.Lock()
@@ -79,7 +79,7 @@
 	}
 	setTrouble(l.Trouble)
 	time.AfterFunc(5*time.Second, func() { setTrouble(false) })
-	time.Sleep(2 * time.Second)
+	time.Sleep(1500 * time.Millisecond)
 	ack := store.Put("op/config", config(8, services[1], 350))
 	l.Line("configuration 8 is acknowledged, it moves the route from %s to %s and adds 350 routes", services[0], services[1])
 	work.Wait()
--- a/review/lab/foreign.go
+++ b/review/lab/foreign.go
@@ -27,7 +27,7 @@
 			servers = append(servers, s)
 		}
 	}
-	route := routeOf("catalogue", "/catalogue/", "idempotent", "", shards, 2500, 800, 10, 0.89)
+	route := routeOf("catalogue", "/catalogue/", "idempotent", "", shards, 3000, 800, 10, 0.89)
 	store.Put("op/config", configOf(7, []map[string]any{route}, shards, 30))
 	for _, s := range servers {
 		store.Put("servers/"+s.ID, s.Entry("ready", 1))
@@ -62,9 +62,12 @@
 	var mu sync.Mutex
 	var replies []Reply
 	var work sync.WaitGroup
-	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(40 * time.Millisecond) {
+	deadlines := []time.Duration{2500 * time.Millisecond, 3000 * time.Millisecond}
+	end := time.Now().Add(10 * time.Second)
+	for i := 0; time.Now().Before(end); i++ {
+		time.Sleep(25 * time.Millisecond)
 		work.Go(func() {
-			r := client.Send(victim, "GET", "/catalogue/2f", 2500*time.Millisecond, "")
+			r := client.Send(victim, "GET", "/catalogue/2f", deadlines[i%2], "")
 			mu.Lock()
 			replies = append(replies, r)
 			mu.Unlock()
