--- a/review/lab/client.go
+++ b/review/lab/client.go
@@ -17,6 +17,7 @@
 	record *Record
 	prefix string
 	next   atomic.Uint64
+	header http.Header // further headers
 }
 
 // NewClient returns a client whose request IDs begin with the prefix.
@@ -43,6 +44,9 @@
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+vm.Front+path, strings.NewReader(body))
 	unable(err)
 	req.Host = host
+	for name, values := range c.header {
+		req.Header[name] = values
+	}
 	req.Header.Set("X-Pistachioshore-Request-Id", id)
 	req.Header.Set("X-Pistachioshore-Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
 	req.GetBody = nil // never send a request again under the same ID
--- a/review/lab/store.go
+++ b/review/lab/store.go
@@ -52,6 +52,11 @@
 func (s *Store) Put(key string, value any) time.Time {
 	b, err := json.Marshal(value)
 	unable(err)
+	return s.PutRaw(key, b)
+}
+
+// PutRaw writes an item with the bytes of another writer and returns the time at which the write is acknowledged.
+func (s *Store) PutRaw(key string, b []byte) time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
