--- a/review/lab/copied.go
+++ b/review/lab/copied.go
@@ -56,7 +56,7 @@
 			path = "/relances/2f"
 		}
 		work.Go(func() {
-			for end := time.Now().Add(20 * time.Second); time.Now().Before(end); {
+			for end := time.Now().Add(45 * time.Second); time.Now().Before(end); {
 				r := client.Send(vm, "POST", path, 5*time.Second, "order")
 				mu.Lock()
 				replies = append(replies, r)
