Review case 5: servers that leave after a VM has started (DRAIN)

Cause: a VM that starts waits 2.5 s and 0.8 s before its first watch of the servers, and keeps a server whose entry has gone for 2 s more.

--- a/review/lab/store.go
+++ b/review/lab/store.go
@@ -70,13 +70,14 @@
 	return time.Now()
 }
 
-// Delete removes an item.
-func (s *Store) Delete(key string) {
+// Delete removes an item and returns the time at which this is acknowledged.
+func (s *Store) Delete(key string) time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
 	delete(s.items, key)
 	s.change(storeItem{Key: key, Revision: s.revision, Deleted: true})
+	return time.Now()
 }
 
 func (s *Store) change(it storeItem) {
--- a/review/lab/vm.go
+++ b/review/lab/vm.go
@@ -141,6 +141,12 @@
 	<-vm.exited
 }
 
+// Stop asks the process to stop, as the platform does for planned work, and waits until it has ended.
+func (vm *VM) Stop() {
+	_ = vm.process.Process.Signal(syscall.SIGTERM)
+	<-vm.exited
+}
+
 // WaitReady waits until the VM reports that it is ready.
 func (vm *VM) WaitReady(limit time.Duration) {
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
