Start the IDs of forwarded parts at a random number in each process

Cause: a VM matches the answers of other VMs by number and address, and each process began with number 1. A VM that served a part of the killed process answered it at its deadline, and the new process took the answer for the one to its own part with the same number. The same collision replaced the entry of the new part at the VM that serves it.

Ruled out: the merge and the answers of upstreams; each foreign part was an answer to a part that the killed process had forwarded.

The numbers now start at a random 64-bit number in each process, so that no answer to an earlier process has the number of a query in flight. The format of the messages is unchanged.

relay relay.txt, last case, fails without the change: the answer has the stamp "stale", 5 of 5 runs. The test's deferred Close now closes the relay of the last process. It passes 10 of 10 runs with the race detector.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -64,6 +65,8 @@
 		outgoing:   map[uint64]*outgoingQuery{}, incoming: map[incomingKey]*incomingQuery{},
 	}
 	r.secondRuns.SetBurst(secondRunBurst)
+	// IDs start at a random number: an aggregator may still answer queries of an earlier process with the same address.
+	r.nextID.Store(rand.Uint64())
 	r.workers = pool.New(workerCount, func(task func()) { task() })
 	r.workers.OnPanic(event.PanicHandler(events))
 	return r
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -39,16 +39,25 @@
 	served     []string
 	cancelled  chan struct{} // closed when a held query is cancelled
 	paused     bool
-	attempts   int // maximum attempts of the route
+	attempts   int      // maximum attempts of the route
+	forwarded  []uint64 // IDs of the queries forwarded by the current process
+	stale      []uint64 // IDs of the queries forwarded by earlier processes
 }
 
 func newScriptedVM() *scriptedVM {
 	s := &scriptedVM{behaviours: map[netip.AddrPort]string{}, cancelled: make(chan struct{}), attempts: 2}
 	s.aggregators = aggregator.New(aggregator.VM{Address: self, Zone: "a"})
-	s.relay = relay.New(s.aggregators, s, s, event.Discard{}, func() bool { return s.paused })
+	s.start()
 	return s
 }
 
+// start starts a process of the VM, which knows nothing of an earlier one.
+func (s *scriptedVM) start() {
+	s.relay = relay.New(s.aggregators, s, s, event.Discard{}, func() bool { return s.paused })
+	s.stale = append(s.stale, s.forwarded...)
+	s.forwarded = nil
+}
+
 // Connect does nothing.
 func (s *scriptedVM) Connect(netip.AddrPort) {}
 
@@ -59,6 +68,9 @@
 func (s *scriptedVM) Send(vm netip.AddrPort, e *wire.Envelope) bool {
 	s.mu.Lock()
 	behaviour := s.behaviours[vm]
+	if e.QueryForward != nil {
+		s.forwarded = append(s.forwarded, e.QueryForward.ID)
+	}
 	if behaviour != "unconnected" {
 		s.sent = append(s.sent, e.Kind+" to "+vm.String())
 	}
@@ -66,7 +78,7 @@
 	switch {
 	case e.QueryForward != nil:
 		return s.receiveForward(vm, e.QueryForward.ID, behaviour)
-	case e.QueryConfirm != nil && behaviour == "answer":
+	case e.QueryConfirm != nil && (behaviour == "answer" || behaviour == "answer-stale"):
 		s.relay.Receive(vm, answer(e.QueryConfirm.ID, result.Complete))
 		s.relay.Receive(vm, answer(e.QueryConfirm.ID, result.Late)) // a second answer must be ignored
 	case e.QueryConfirm != nil && behaviour == "partial":
@@ -89,6 +101,13 @@
 	switch behaviour {
 	case "unconnected":
 		return false
+	case "answer-stale": // the answers to the queries of earlier processes arrive first
+		for _, staleID := range s.stale {
+			m := answer(staleID, result.Complete)
+			m.QueryResult.Stamps = []string{"stale"}
+			s.relay.Receive(vm, m)
+		}
+		s.relay.Receive(vm, &wire.Envelope{QueryAccept: &wire.QueryAccept{ID: id}})
 	case "answer", "partial", "lost", "slow":
 		s.relay.Receive(vm, &wire.Envelope{QueryAccept: &wire.QueryAccept{ID: id}})
 	case "not-ready":
@@ -127,11 +146,12 @@
 }
 
 // TestScripts guards against queries that are answered twice or not at all when the first aggregator does not accept
-// them, against a third run, and against queries that continue after their client has disconnected.
+// them, against a third run, against queries that continue after their client has disconnected, and against answers to
+// queries of a killed process that the restarted one takes for answers to its own.
 func TestScripts(t *testing.T) {
 	datadriven.RunTest(t, "testdata/relay.txt", func(t *testing.T, d *datadriven.TestData) string {
 		s := newScriptedVM()
-		defer s.relay.Close()
+		defer func() { s.relay.Close() }() // the relay of the last process
 		var out strings.Builder
 		for _, line := range strings.Split(strings.TrimSpace(d.Input), "\n") {
 			out.WriteString(s.run(t, strings.Fields(line)))
@@ -164,6 +184,9 @@
 		return s.ask(time.Second, duration(f[1]))
 	case "pause":
 		s.paused = true
+	case "restart": // the process is killed and started again
+		s.relay.Close()
+		s.start()
 	case "query", "cancelled-query", "confirmed-query": // path
 		return s.deliverQuery(t, f[0], f[1])
 	default:
