Start the message IDs of the product's front end at a random number

A reply to a message of a killed process could be taken for the reply to another message of its successor. No caller was seen to get such a reply; found by reading.

--- a/entry/vm/vm.go
+++ b/entry/vm/vm.go
@@ -154,6 +154,8 @@
 		routeBudgets:    newRouteBudgets(),
 		readiness:       newReadiness(),
 	}
+	// IDs start at a random number: peers may still reply to messages of an earlier process with the same address.
+	vm.nextID.Store(rand.Uint64())
 	vm.ctx, vm.cancel = context.WithCancel(context.Background())
 	return vm
 }
