Take an error status below 500 for a failure of a shard

Cause: the adapter reports a status below 500 as a complete response, as the client of a route with one upstream gets it unchanged. For a shard nothing looked at the status again: the shard counted as covered, no replica was tried, and the merge took the body and the stamp.

Ruled out: the choice of the replica and hedges; the response arrived whole, from the upstream that was asked.

forward now counts such a response to an attempt at a shard as a failure of the upstream, as it does with a status of 500 and above. A replica is tried within the budgets, and without an answer the shard is missing. Routes with one upstream still get the response unchanged.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -54,6 +54,11 @@
 	Stamp  string // signature of the upstream; empty if the response is unsigned
 }
 
+// Succeeded reports whether the status is that of a success.
+func (r *Response) Succeeded() bool {
+	return r.Status >= 200 && r.Status < 300
+}
+
 // AttemptResult is the result of one attempt. Response is nil if the upstream did not respond.
 type AttemptResult struct {
 	Code     result.Code
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -132,6 +132,9 @@
 	switch name {
 	case "answer":
 		res.Code, res.Outcome = result.Complete, replica.Succeeded
+	case "reject": // an error status that a client may get unchanged
+		res.Code, res.Outcome = result.Complete, replica.Succeeded
+		res.Response.Status = 422
 	case "panic":
 		panic("fault of a sender")
 	case "fatal": // loses the connection, and other VMs report three crashes under the same request
@@ -206,7 +209,8 @@
 
 // TestScripts guards against wrong answers when upstreams fail, shed, lose the connection or do not respond, and
 // against attempts beyond the limits of the route and the retry budget. Requests that resting upstreams keep from being
-// served must be refused at once, with the time at which they can be. The parts that other VMs fan out must be merged into a
+// served must be refused at once, with the time at which they can be. An error status, also one below 500, must not count
+// as the answer of a shard. The parts that other VMs fan out must be merged into a
 // truthful answer, whatever becomes of them.
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata/vm", func(t *testing.T, path string) {
--- a/forward/query.go
+++ b/forward/query.go
@@ -344,6 +344,9 @@
 
 // handleResult handles the result of an attempt, unless the attempt was abandoned or cancelled.
 func (q *query) handleResult(a gather.Attempt, s *sentAttempt, res AttemptResult) {
+	if q.route.Sharded() {
+		res = shardResult(res)
+	}
 	key := attemptKey{a.Shard, a.Number}
 	q.mu.Lock()
 	current := q.inFlight[key] == s
@@ -363,6 +366,15 @@
 	q.advance(a, res, elapsed)
 }
 
+// shardResult returns the result of an attempt at a shard. A response with an error status is complete for a client that
+// gets it unchanged, but it holds no records to merge, so for a shard it is a failure of the upstream.
+func shardResult(res AttemptResult) AttemptResult {
+	if res.Code == result.Complete && res.Response != nil && !res.Response.Succeeded() {
+		res.Code, res.Outcome = result.UpstreamFailed, replica.Failed
+	}
+	return res
+}
+
 // advance passes the result of an attempt to the state machine and applies the next step.
 func (q *query) advance(a gather.Attempt, res AttemptResult, elapsed time.Duration) {
 	if res.Code != result.Complete {
