Count the age of a removal towards the use of a server that has left

Cause: a VM that starts waits up to 2.5 s between the listing of the servers and its first watch, and 0.8 s more by which watches are batched. A server whose entry is removed stays in use for 2 s if it answers, and these 2 s began when the VM learned of the removal.

Ruled out: peers that keep the VM back, as the script's VMs read the store themselves, and requests that wait for a connection.

Each feed now remembers when it was last known to hold all changes. VMs that follow others count from the last heartbeat of a VM that reads the store and knew nothing newer.

--- a/member/member.go
+++ b/member/member.go
@@ -32,6 +32,8 @@
 	ReadsPlatform() bool
 	// NeedsImport reports whether this VM needs the state of another VM with the given cursors, which is newer.
 	NeedsImport(cursors []uint64) bool
+	// ConfirmCurrent records that a VM that reads the platform knows no changes after the given cursors.
+	ConfirmCurrent(now time.Time, cursors []uint64)
 	// Export encodes the changes since the given cursors, or the whole state if there are none.
 	Export(since []uint64) ([]byte, error)
 	// Import applies a state that another VM has exported.
@@ -230,6 +232,9 @@
 			}
 		})
 	}
+	if h.Fed {
+		m.state.ConfirmCurrent(now, h.Cursors)
+	}
 	if ok && from == primary {
 		m.handleReportedZones(now, h.UnreachableZones)
 	}
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -38,6 +38,7 @@
 	platformDown bool
 	following    bool
 	imported     []string
+	confirmed    []uint64 // cursors that VMs which read the platform have stated
 }
 
 // Connect records the VM.
@@ -121,6 +122,9 @@
 	return s.platformDown && len(cursors) > 0 && cursors[0] > s.revision
 }
 
+// ConfirmCurrent records the cursors.
+func (s *scriptedVM) ConfirmCurrent(_ time.Time, cursors []uint64) { s.confirmed = append(s.confirmed, cursors...) }
+
 // Import records the state.
 func (s *scriptedVM) Import(state []byte) error {
 	s.imported = append(s.imported, string(state))
@@ -137,7 +141,7 @@
 var start = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
 
 // TestScripts guards against a wrong number of VMs that share the limits of upstreams, in particular while some send
-// no heartbeats, against a VM that does not request newer state from others while it cannot read the platform, and
+// no heartbeats, against the state of a VM that itself follows others being taken for current, against a VM that does not request newer state from others while it cannot read the platform, and
 // against reports of draining upstreams that do not reach the other VMs, those that were not connected included, or
 // circulate without end.
 func TestScripts(t *testing.T) {
@@ -207,6 +211,8 @@
 		s.member.handle(now, from, &wire.Envelope{Kind: codec.KindHeartbeat, Heartbeat: h})
 	case "show":
 		s.shown = append(s.shown, fmt.Sprintf("at %d ms linked %v following %t", ms, s.member.connectedVMs(), s.following))
+	case "confirmed":
+		s.shown = append(s.shown, fmt.Sprintf("at %d ms confirmed %v", ms, s.confirmed))
 	case "forward":
 		s.member.Receive(from, &wire.Envelope{Kind: codec.KindQueryForward, QueryForward: &wire.QueryForward{}})
 	case "changed":
