Skip second copies of answers that name no request

Cause: an answer without an ID was taken for the answer to whichever request waited on the connection.

Ruled out: copies that echo an ID.

A connection now remembers the signatures of the last eight answers that named no request, and skips an answer with one of them. An answer with neither ID nor signature is taken, and its connection carries no further request.

transport/http1 scripts/copies.txt ("b: 200 "a"") and platform path/stutter.txt (answers not signed for the request) fail without the change.

--- a/standin/shard/shard.go
+++ b/standin/shard/shard.go
@@ -39,6 +39,8 @@
 	EndlessHead      Behaviour = "endless-head" // executes the request and sends a header that does not end
 	EndlessBody      Behaviour = "endless-body" // executes the request and sends a body that does not end
 	LateCopy         Behaviour = "copy"         // responds, and sends a copy of the response a little later
+	Stuttering       Behaviour = "stutter"      // responds, and sends a copy where the next response on the connection is expected
+	StutteringMutely Behaviour = "stutter-mute" // the same, and no response echoes the request's ID
 	Limiting         Behaviour = "limit"        // responds, and names RequestLimit
 	Crashing         Behaviour = "crash"        // stops for good when it begins to execute a request for a CrashingTarget
 )
@@ -155,6 +157,10 @@
 	s.state.With(func(st *state) { st.behaviour = b })
 }
 
+func (s *Server) currentBehaviour() Behaviour {
+	return table.WithResult(s.state, func(st *state) Behaviour { return st.behaviour })
+}
+
 // Executions returns the requests that the server began to execute.
 func (s *Server) Executions() []Execution {
 	return table.WithResult(s.state, func(st *state) []Execution { return append([]Execution(nil), st.executions...) })
@@ -180,7 +186,7 @@
 	if err != nil {
 		return // the connection was closed
 	}
-	b := table.WithResult(s.state, func(st *state) Behaviour { return st.behaviour })
+	b := s.currentBehaviour()
 	expect := r.Header.Get("X-Pistachioshore-Expect-Instance")
 	switch {
 	case b == WrongInstance || (expect != "" && expect != s.id):
@@ -197,10 +203,8 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	s.state.With(func(st *state) {
-		st.running++
-		st.executions = append(st.executions, Execution{RequestID: requestID, Method: r.Method, Target: r.RequestURI, Body: string(body), Header: r.Header, StartedAt: time.Now()})
-	})
+	s.recordExecution(r, body)
+	s.state.With(func(st *state) { st.running++ })
 	defer s.state.With(func(st *state) { st.running-- })
 	if b == Crashing && strings.Contains(r.RequestURI, CrashingTarget) {
 		if s.onCrash != nil {
@@ -215,6 +219,14 @@
 	s.respond(w, r, b, requestID)
 }
 
+// recordExecution records that the server begins to execute a request.
+func (s *Server) recordExecution(r *http.Request, body []byte) {
+	e := Execution{
+		RequestID: r.Header.Get("X-Pistachioshore-Request-Id"), Method: r.Method, Target: r.RequestURI, Body: string(body), Header: r.Header, StartedAt: time.Now(),
+	}
+	s.state.With(func(st *state) { st.executions = append(st.executions, e) })
+}
+
 // copyDelay is the time after which a server with the behaviour LateCopy sends the copy.
 const copyDelay = 100 * time.Millisecond
 
@@ -253,6 +265,9 @@
 	case Hanging:
 		<-r.Context().Done()
 		return
+	case Stuttering, StutteringMutely:
+		s.serveStuttering(w, r, b)
+		return
 	case EndlessHead, EndlessBody, LateCopy:
 		s.respondRaw(w, b, Stamp(s.id, requestID, record), requestID, record)
 		return
--- a/standin/soak/cluster.go
+++ b/standin/soak/cluster.go
@@ -21,6 +21,7 @@
 type cluster struct {
 	crashing       bool // requests are sent that stop each server that executes them
 	extended       bool // further behaviours of servers and odd entries are drawn
+	stuttering     bool // servers that answer twice are drawn
 	store          *kv.Store
 	storeServer    *http.Server
 	storeAddress   netip.AddrPort
@@ -50,7 +51,10 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for the store")
 	}
-	s := &cluster{extended: set.Seed >= firstExtendedSeed, crashing: set.Seed >= firstCrashingSeed, store: kv.New(), history: newHistory(), storeAddress: netip.MustParseAddrPort(l.Addr().String())}
+	s := &cluster{
+		extended: set.Seed >= firstExtendedSeed, crashing: set.Seed >= firstCrashingSeed, stuttering: set.Seed >= firstStutteringSeed,
+		store: kv.New(), history: newHistory(), storeAddress: netip.MustParseAddrPort(l.Addr().String()),
+	}
 	s.storeServer = &http.Server{Handler: s.store}
 	go func() { _ = s.storeServer.Serve(l) }() // returns ErrServerClosed on close
 	for _, service := range services() {
--- a/transport/http1/conn.go
+++ b/transport/http1/conn.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -24,8 +25,9 @@
 	idleSince time.Time     // guarded by the pool's lock
 	idleLimit time.Duration // 0 if the upstream gave none; set by the reading goroutine before park
 
-	skipped int           // responses skipped since the last one that belonged to a call; used by the reading goroutine
-	done    chan struct{} // closed with the connection
+	skipped    int           // responses skipped since the last one that belonged to a call; used by the reading goroutine
+	signatures []string      // of the last responses that named no call; used by the reading goroutine
+	done       chan struct{} // closed with the connection
 
 	mu             sync.Mutex
 	exchange       *Exchange
@@ -127,12 +129,13 @@
 	if e.call.Observe != nil {
 		e.call.Observe(resp.Status, resp.Header)
 	}
-	if e.call.MatchResponse != nil && !e.call.MatchResponse(resp.Header) {
+	id := e.call.identify(resp.Header)
+	if id.Match == OtherCall || c.isCopy(id) {
 		c.pool.count(func(n *Counts) { n.Skipped++ })
 		return c.skip()
 	}
 	c.skipped = 0
-	keep := !resp.close && br.Buffered() == 0
+	keep := c.remember(id) && !resp.close && br.Buffered() == 0
 	c.idleLimit = keepAliveTimeout(resp.Header)
 	if !keep {
 		c.close()
@@ -142,6 +145,35 @@
 	return keep
 }
 
+// identify tells to which call a response belongs.
+func (call *Call) identify(h http.Header) Identity {
+	if call.Identify == nil {
+		return Identity{Match: ThisCall}
+	}
+	return call.Identify(h)
+}
+
+// isCopy reports whether the response is a second copy of one that named no call.
+func (c *conn) isCopy(id Identity) bool {
+	return id.Match == NoCall && slices.Contains(c.signatures, id.Signature)
+}
+
+// remember makes a late copy of the response recognizable. It returns false if that is impossible, because the response
+// neither names a call nor has a signature: the connection must not carry another call then.
+func (c *conn) remember(id Identity) bool {
+	if id.Match != NoCall {
+		return true
+	}
+	if id.Signature == "" {
+		return false
+	}
+	if len(c.signatures) == maxSignatures {
+		c.signatures = c.signatures[1:]
+	}
+	c.signatures = append(c.signatures, id.Signature)
+	return true
+}
+
 // skip counts a skipped response. It closes the connection and returns false if the upstream has sent too many.
 func (c *conn) skip() bool {
 	c.skipped++
--- a/transport/http1/http1.go
+++ b/transport/http1/http1.go
@@ -1,7 +1,8 @@
 // Package http1 sends HTTP/1.1 requests to upstreams over persistent connections.
 //
 // Unlike http.Transport it never resends a request, adds no headers except Host and Content-Length, skips
-// responses that belong to another request, and tells whether a failed request can have reached the upstream.
+// responses that belong to another request, second copies of earlier responses included, and tells whether a failed
+// request can have reached the upstream.
 package http1
 
 import (
@@ -29,15 +30,32 @@
 	// MaxIdleTime is the longest idle time of a connection that may carry the call; 0 for no limit. An upstream
 	// may drop an idle connection without notice, so a call that must not be lost sets a limit.
 	MaxIdleTime time.Duration
-	// MatchResponse reports whether a response with the given header belongs to this call; nil accepts every
-	// response.
-	MatchResponse func(h http.Header) bool
+	// Identify tells to which call a response with the given header belongs. If nil, every response belongs to this one.
+	Identify func(h http.Header) Identity
 	// Observe, if not nil, is called with the status and header of each final response that arrives on the
 	// connection while the call is pending, including one that belongs to another request or that arrives after
 	// the call was abandoned. It must not block.
 	Observe func(status int, h http.Header)
 }
 
+// Identity is what the header of a response says about the call that it belongs to.
+type Identity struct {
+	Match Match
+	// Signature is unique to the response if it names no call; empty if the response has none. A second copy of the
+	// response has the same signature.
+	Signature string
+}
+
+// Match tells whether a response names the call that waits for one.
+type Match uint8
+
+// A response names this call, another one, or none.
+const (
+	ThisCall Match = iota + 1
+	OtherCall
+	NoCall
+)
+
 // Response is a complete response.
 type Response struct {
 	Status int // HTTP status code
@@ -135,6 +153,9 @@
 	// skipped while a call waits for its own.
 	maxSkippedResponses = 16
 
+	// maxSignatures is the number of responses of a connection whose copies are recognized by their signatures.
+	maxSignatures = 8
+
 	// maxInlineBody is the largest request body in bytes that the goroutine calling Start writes itself; a longer
 	// one could block it while the upstream does not read.
 	maxInlineBody = 8 << 10
--- a/transport/http1/pool_test.go
+++ b/transport/http1/pool_test.go
@@ -125,7 +125,7 @@
 	}
 }
 
-// TestScripts guards against responses that reach another request, truncated responses that pass as complete
+// TestScripts guards against responses that reach another request, those that name no request included, truncated responses that pass as complete
 // ones, requests that are sent twice, and responses that are read without end, when an upstream answers twice, late,
 // early, in part, without end or not at all.
 func TestScripts(t *testing.T) {
@@ -216,7 +216,16 @@
 	var size int
 	fmt.Sscan(line, &id, &size)
 	c := &Call{Method: "GET", Target: "/" + id, Host: "h", Body: make([]byte, size), Header: []Header{{"Id", id}}}
-	c.MatchResponse = func(h http.Header) bool { return h.Get("Id") == "" || h.Get("Id") == id }
+	c.Identify = func(h http.Header) Identity {
+		switch h.Get("Id") {
+		case "":
+			return Identity{Match: NoCall, Signature: h.Get("Signature")}
+		case id:
+			return Identity{Match: ThisCall}
+		default:
+			return Identity{Match: OtherCall}
+		}
+	}
 	type exchangeResult struct {
 		r Response
 		f Failure
@@ -404,7 +413,7 @@
 	p.OnPanic(func(v any, _ []byte) { panics <- v })
 	done := make(chan Failure, 1)
 	s.answer <- struct{}{}
-	call := &Call{Method: "GET", Target: "/", Host: "h", MatchResponse: func(http.Header) bool { panic("fault") }}
+	call := &Call{Method: "GET", Target: "/", Host: "h", Identify: func(http.Header) Identity { panic("fault") }}
 	p.Start(s.address, 1, call, func(_ Response, f Failure) { done <- f })
 	if got := <-done; got != MalformedResponse {
 		t.Errorf("got %v, want a malformed response", got)
