--- a/transport/http1/conn.go
+++ b/transport/http1/conn.go
@@ -117,7 +117,7 @@
 
 // handleResponse reads one response and reports whether the connection can be read further.
 func (c *conn) handleResponse(br *bufio.Reader, limited *limitedReader, e *Exchange) bool {
-	resp, err := c.readResponse(br, limited, e.call.Method)
+	resp, err := c.readResponse(br, limited, e.call)
 	if err != nil {
 		c.countOversized(err)
 		c.fail(failureOf(err))
--- a/transport/http1/fuzz_test.go
+++ b/transport/http1/fuzz_test.go
@@ -20,7 +20,7 @@
 		c := newConn(&Pool{largeBodies: make(chan struct{}, maxLargeBodies)}, testAddress, nil)
 		limited := &limitedReader{r: bytes.NewReader(data)}
 		limited.allow(maxHead)
-		resp, err := c.readResponse(bufio.NewReaderSize(limited, readBufferSize), limited, "GET")
+		resp, err := c.readResponse(bufio.NewReaderSize(limited, readBufferSize), limited, &Call{Method: "GET"})
 		if err == nil && len(resp.Body) > maxBody {
 			t.Errorf("got a body of %d bytes, want at most %d", len(resp.Body), maxBody)
 		}
--- a/transport/http1/http1.go
+++ b/transport/http1/http1.go
@@ -30,6 +30,9 @@
 	// MaxIdleTime is the longest idle time of a connection that may carry the call; 0 for no limit. An upstream
 	// may drop an idle connection without notice, so a call that must not be lost sets a limit.
 	MaxIdleTime time.Duration
+	// LargeResponse has a body of any size up to the limit read at once. Others of more than 64 KB wait until few enough
+	// are being read, so that upstreams with bodies that do not end can delay them.
+	LargeResponse bool
 	// Identify tells to which call a response with the given header belongs. If nil, every response belongs to this one.
 	Identify func(h http.Header) Identity
 	// Observe, if not nil, is called with the status and header of each final response that arrives on the
--- a/transport/http1/pool_test.go
+++ b/transport/http1/pool_test.go
@@ -10,6 +10,8 @@
 	"net/netip"
 	"runtime"
 	"runtime/metrics"
+	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -195,6 +197,37 @@
 	}
 }
 
+// TestLargeResponse guards against an expected large response that is delayed by upstreams with bodies that do not end, as
+// these hold all places for large bodies.
+func TestLargeResponse(t *testing.T) {
+	unending := newScriptedUpstream(t, slices.Repeat([][]string{{"read", `HTTP/1.1 200 OK\r\n\r\n`, strings.Repeat("x", 2*smallBody), "body"}}, maxLargeBodies))
+	sound := newScriptedUpstream(t, [][]string{{"read", `HTTP/1.1 200 OK\r\nContent-Length: ` + strconv.Itoa(2*smallBody) + `\r\n\r\n`, strings.Repeat("y", 2*smallBody)}})
+	p := New(nil)
+	var held []*Exchange
+	for range maxLargeBodies {
+		call := &Call{Method: "GET", Target: "/", Host: "h"}
+		held = append(held, p.Start(netip.MustParseAddrPort(unending.listener.Addr().String()), maxLargeBodies, call, func(Response, Failure) {}))
+	}
+	waitUntil(func() bool { return len(p.largeBodies) == maxLargeBodies })
+	done := make(chan Failure, 1)
+	call := &Call{Method: "GET", Target: "/", Host: "h", LargeResponse: true}
+	p.Start(netip.MustParseAddrPort(sound.listener.Addr().String()), 1, call, func(_ Response, f Failure) { done <- f })
+	select {
+	case got := <-done:
+		if got != NoFailure {
+			t.Errorf("got %v, want a response", got)
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("got no response after 5 s, want one although the places for large bodies are held")
+	}
+	for _, e := range held {
+		e.Cancel()
+	}
+	p.Close()
+	unending.close()
+	sound.close()
+}
+
 // liveHeap returns the number of bytes in use on the heap after a collection.
 func liveHeap() uint64 {
 	runtime.GC()
--- a/transport/http1/response.go
+++ b/transport/http1/response.go
@@ -45,14 +45,14 @@
 }
 
 // readResponse reads one complete response. A response without a length ends with its connection.
-func (c *conn) readResponse(br *bufio.Reader, limited *limitedReader, method string) (parsedResponse, error) {
-	resp, err := http.ReadResponse(br, &http.Request{Method: method})
+func (c *conn) readResponse(br *bufio.Reader, limited *limitedReader, call *Call) (parsedResponse, error) {
+	resp, err := http.ReadResponse(br, &http.Request{Method: call.Method})
 	if err != nil {
 		return parsedResponse{}, err
 	}
 	defer func() { _ = resp.Body.Close() }()
 	limited.allow(maxBody + maxBodyOverhead)
-	body, err := c.readBody(resp)
+	body, err := c.readBody(resp, call.LargeResponse)
 	if err != nil {
 		return parsedResponse{}, err
 	}
@@ -61,8 +61,8 @@
 }
 
 // readBody reads the body of a response. It allocates memory for the bytes that have arrived, not for those that a
-// Content-Length announces.
-func (c *conn) readBody(resp *http.Response) ([]byte, error) {
+// Content-Length announces. A large body waits for its place unless it is expected.
+func (c *conn) readBody(resp *http.Response, expectLarge bool) ([]byte, error) {
 	if resp.ContentLength > maxBody {
 		return nil, errTooLarge
 	}
@@ -79,10 +79,12 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := c.acquireLargeBody(); err != nil {
-		return nil, err
+	if !expectLarge {
+		if err := c.acquireLargeBody(); err != nil {
+			return nil, err
+		}
+		defer c.releaseLargeBody()
 	}
-	defer c.releaseLargeBody()
 	body.Grow(maxBody - smallBody + 1 + bytes.MinRead) // growing step by step would need twice the memory
 	_, err = io.CopyN(&body, resp.Body, maxBody-smallBody+1)
 	if err == nil {
