Bound the number of large responses that are read at a time

Asked by the users, from reports of other operators: servers sent bytes without end in a head or a body, and the machine that had called them ran out of memory. No caller of ours was seen to be hit.

Cause: each response is bounded, but not how many of up to 64 KB are held at once. 1,024 responses that stall at 56 KB held 79 to 94 MB of heap, where half of the smallest VM is 92 MB.

At most 384 responses of more than 4 KB are now read at a time. One more gives up the one that has been read for longest, which is the most likely not to end, so that sound responses are not delayed. Memory for a body is allocated as its bytes arrive, also if its length is announced.

--- a/transport/http1/conn.go
+++ b/transport/http1/conn.go
@@ -98,7 +98,7 @@
 	limited := &limitedReader{r: c.nc}
 	br := bufio.NewReaderSize(limited, readBufferSize)
 	for {
-		limited.allow(maxHead)
+		limited.startResponse()
 		if _, err := br.Peek(1); err != nil {
 			c.fail(ConnectionLost)
 			return
@@ -115,8 +115,24 @@
 	}
 }
 
+// admitLarge counts the response of an exchange as unfinished. If there are too many, it gives up the one that has been
+// read for longest.
+func (c *conn) admitLarge(e *Exchange) {
+	longest, tooMany := c.pool.unfinished.add(unfinishedResponse{c, e})
+	if !tooMany {
+		return
+	}
+	c.countOversized(errTooLarge)
+	longest.conn.closeIfPending(longest.exchange)
+	longest.exchange.finish(Response{}, MalformedResponse)
+}
+
 // handleResponse reads one response and reports whether the connection can be read further.
 func (c *conn) handleResponse(br *bufio.Reader, limited *limitedReader, e *Exchange) bool {
+	if !e.call.LargeResponse {
+		limited.onLarge = func() { c.admitLarge(e) }
+		defer c.pool.unfinished.remove(e)
+	}
 	resp, err := c.readResponse(br, limited, e.call)
 	if err != nil {
 		c.countOversized(err)
--- a/transport/http1/fuzz_test.go
+++ b/transport/http1/fuzz_test.go
@@ -17,7 +17,7 @@
 	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nffffffffffffffff\r\n"))
 	f.Add([]byte("%%%\r\n\r\n"))
 	f.Fuzz(func(t *testing.T, data []byte) {
-		c := newConn(&Pool{largeBodies: make(chan struct{}, maxLargeBodies)}, testAddress, nil)
+		c := newConn(&Pool{largeBodies: make(chan struct{}, maxLargeBodies), unfinished: newUnfinished()}, testAddress, nil)
 		limited := &limitedReader{r: bytes.NewReader(data)}
 		limited.allow(maxHead)
 		resp, err := c.readResponse(bufio.NewReaderSize(limited, readBufferSize), limited, &Call{Method: "GET"})
--- a/transport/http1/http1.go
+++ b/transport/http1/http1.go
@@ -156,6 +156,11 @@
 	// skipped while a call waits for its own.
 	maxSkippedResponses = 16
 
+	// At most maxUnfinished responses of more than smallResponse bytes are read at a time, which together with
+	// maxLargeBodies bounds the memory that upstreams can occupy with heads and bodies that do not end.
+	smallResponse = readBufferSize
+	maxUnfinished = 384
+
 	// maxSignatures is the number of responses of a connection whose copies are recognized by their signatures.
 	maxSignatures = 8
 
--- a/transport/http1/pool.go
+++ b/transport/http1/pool.go
@@ -18,6 +18,7 @@
 
 	onPanic     pool.PanicHandler
 	largeBodies chan struct{} // holds an element for each large body that is being read
+	unfinished  *unfinished
 
 	mu     sync.Mutex
 	hosts  map[netip.AddrPort]*host
@@ -53,7 +54,7 @@
 		probes := net.KeepAliveConfig{Enable: true, Idle: probeInterval, Interval: probeInterval, Count: probeCount}
 		dial = (&net.Dialer{KeepAliveConfig: probes}).DialContext
 	}
-	p := &Pool{dial: dial, hosts: map[netip.AddrPort]*host{}, largeBodies: make(chan struct{}, maxLargeBodies)}
+	p := &Pool{dial: dial, hosts: map[netip.AddrPort]*host{}, largeBodies: make(chan struct{}, maxLargeBodies), unfinished: newUnfinished()}
 	p.workers = pool.New(dialWorkers, func(task func()) { task() })
 	return p
 }
--- a/transport/http1/pool_test.go
+++ b/transport/http1/pool_test.go
@@ -197,6 +197,42 @@
 	}
 }
 
+// TestStalledMemory guards against upstreams that fill the memory of the VM with many responses that stall below the limits
+// of a single one, in the head or in the body, and against sound responses that are given up for them.
+func TestStalledMemory(t *testing.T) {
+	const connections = 2 * maxUnfinished
+	const want = 46 << 20 // a quarter of the memory of the smallest VM
+	filler := strings.Repeat("x", smallBody-8<<10)
+	for _, response := range []string{`HTTP/1.1 200 OK\r\nX: `, `HTTP/1.1 200 OK\r\n\r\n`, `HTTP/1.1 200 OK\r\nContent-Length: 65536\r\n\r\n`} {
+		stalling := newScriptedUpstream(t, slices.Repeat([][]string{{"read", response + filler, "body"}}, connections))
+		sound := newScriptedUpstream(t, [][]string{{"read", `HTTP/1.1 200 OK\r\n\r\n` + filler, "close"}})
+		p := New(nil)
+		before := liveHeap()
+		var stalled []*Exchange
+		for range connections {
+			call := &Call{Method: "GET", Target: "/", Host: "h"}
+			stalled = append(stalled, p.Start(netip.MustParseAddrPort(stalling.listener.Addr().String()), connections, call, func(Response, Failure) {}))
+		}
+		waitUntil(func() bool {
+			return p.unfinished.size() == maxUnfinished && p.Counts().Oversized == connections-maxUnfinished
+		})
+		if got := liveHeap() - before; got > want {
+			t.Errorf("%s: got %d bytes of heap, want at most %d", response, got, want)
+		}
+		done := make(chan Failure, 1)
+		p.Start(netip.MustParseAddrPort(sound.listener.Addr().String()), 1, &Call{Method: "GET", Target: "/", Host: "h"}, func(_ Response, f Failure) { done <- f })
+		if got := <-done; got != NoFailure {
+			t.Errorf("%s: got %v, want the response of a sound upstream", response, got)
+		}
+		for _, e := range stalled {
+			e.Cancel()
+		}
+		p.Close()
+		stalling.close()
+		sound.close()
+	}
+}
+
 // TestLargeResponse guards against an expected large response that is delayed by upstreams with bodies that do not end, as
 // these hold all places for large bodies.
 func TestLargeResponse(t *testing.T) {
--- a/transport/http1/response.go
+++ b/transport/http1/response.go
@@ -18,6 +18,14 @@
 type limitedReader struct {
 	r         io.Reader
 	remaining int
+	read      int    // bytes of the current response
+	onLarge   func() // called once for a response of more than smallResponse bytes; may be nil
+}
+
+// startResponse begins to count the bytes of a response, of which the head may be read.
+func (l *limitedReader) startResponse() {
+	l.read, l.onLarge = 0, nil
+	l.allow(maxHead)
 }
 
 // allow sets the number of further bytes that may be read.
@@ -35,6 +43,11 @@
 	}
 	n, err := l.r.Read(p)
 	l.remaining -= n
+	l.read += n
+	if l.read > smallResponse && l.onLarge != nil {
+		l.onLarge()
+		l.onLarge = nil
+	}
 	return n, err
 }
 
@@ -66,15 +79,19 @@
 	if resp.ContentLength > maxBody {
 		return nil, errTooLarge
 	}
-	if n := resp.ContentLength; n >= 0 && n <= smallBody {
+	if n := resp.ContentLength; n >= 0 && n <= smallResponse {
 		body := make([]byte, n)
 		_, err := io.ReadFull(resp.Body, body)
 		return body, err
 	}
 	var body bytes.Buffer
-	_, err := io.CopyN(&body, resp.Body, smallBody)
-	if errors.Is(err, io.EOF) {
-		return body.Bytes(), nil
+	_, err := io.CopyN(&body, resp.Body, smallResponse)
+	if err == nil {
+		body.Grow(smallBody - smallResponse + bytes.MinRead) // growing step by step would need twice the memory
+		_, err = io.CopyN(&body, resp.Body, smallBody-smallResponse)
+	}
+	if errors.Is(err, io.EOF) || (err == nil && int64(body.Len()) == resp.ContentLength) {
+		return slices.Clone(body.Bytes()), nil
 	}
 	if err != nil {
 		return nil, err
