--- a/member/member_test.go
+++ b/member/member_test.go
@@ -123,7 +123,9 @@
 }
 
 // ConfirmCurrent records the cursors.
-func (s *scriptedVM) ConfirmCurrent(_ time.Time, cursors []uint64) { s.confirmed = append(s.confirmed, cursors...) }
+func (s *scriptedVM) ConfirmCurrent(_ time.Time, cursors []uint64) {
+	s.confirmed = append(s.confirmed, cursors...)
+}
 
 // Import records the state.
 func (s *scriptedVM) Import(state []byte) error {
