Let the relay test wait for answers since the start of the request

If these had come more than 1 ms before, it waited for 1 s, past the timeout of 300 ms.

It now counts answers from the start of the request, so that it waits for the same three answers as before and does not depend on which part begins first. The expected outputs are unchanged.

--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -40,6 +40,8 @@
 	zones   map[string]string // how parts for a zone's aggregators end
 	idle    bool              // this VM fans out no parts itself
 	relayed []string          // parts that were relayed
+	// servedAt is the start of the request that is being served.
+	servedAt time.Time
 }
 
 // Zones returns the zones of the script.
@@ -90,12 +92,11 @@
 // waitAnswered waits until the servers of this VM's own part have answered, so that the counts do not depend on which
 // part ends first.
 func (h *harness) waitAnswered() {
-	started := time.Now()
 	tick := time.NewTicker(time.Millisecond)
 	defer tick.Stop()
 	for range 1000 {
 		now := <-tick.C
-		answered := func(id string) bool { return h.replicas.AnsweredWithin(now, id, now.Sub(started)+time.Millisecond) }
+		answered := func(id string) bool { return h.replicas.AnsweredWithin(now, id, now.Sub(h.servedAt)) }
 		if answered("a") && answered("b") && answered("c") {
 			return
 		}
@@ -325,7 +326,7 @@
 	if d.HasArg("held") {
 		req.Confirmed = make(chan struct{})
 	}
-	h.relayed = nil
+	h.relayed, h.servedAt = nil, now
 	out := h.describe(h.vm.Serve(ctx, req))
 	if len(h.zones) > 0 {
 		h.mu.Lock()
