Reserve the port of a crashed server in the soak until its end

The same was met between two soaks at the same time.

The port is now bound again, without listening, as soon as the listener is closed. Connections are refused as before, and the kernel gives the port to no other process.

TestReservedPort fails without the change.

--- a/standin/soak/actions.go
+++ b/standin/soak/actions.go
@@ -206,7 +206,7 @@
 		return
 	}
 	if !planned {
-		srv.proxy.close()
+		s.crash(srv)
 		srv.Close()
 		wait(2*time.Second, done)
 		s.store.Delete(srv.Key())
@@ -218,6 +218,13 @@
 	s.history.mu.Unlock()
 }
 
+// crash makes connections to a server be refused. Its port stays reserved until the soak ends.
+func (s *cluster) crash(srv *server) {
+	if err := srv.proxy.crash(); err != nil {
+		s.history.recordViolation("crash a server: " + err.Error())
+	}
+}
+
 // evacuate evacuates a zone for some time. It does nothing if the zone is evacuated already, because the end of
 // the earlier evacuation would cut this one short.
 func (s *cluster) evacuate(zone string, duration time.Duration, done <-chan struct{}) {
--- a/standin/soak/crashing.go
+++ b/standin/soak/crashing.go
@@ -40,7 +40,7 @@
 	srv.SetBehaviour(shard.Crashing)
 	srv.OnCrash(func() {
 		now := time.Now()
-		srv.proxy.close()
+		s.crash(srv)
 		s.history.recordServerFault(now, now)
 		if !s.markRemoved(srv) {
 			return
--- a/standin/soak/proxy.go
+++ b/standin/soak/proxy.go
@@ -34,6 +34,7 @@
 	mode   ProxyMode
 	conns  map[*net.TCPConn]bool
 	closed bool
+	port   *reservedPort // of a crashed server; nil if the port is not reserved
 }
 
 func newProxy(target netip.AddrPort) (*proxy, error) {
@@ -74,8 +75,31 @@
 	}
 }
 
-// close closes the listener and all connections and waits for the proxy's goroutines.
+// close closes the listener and all connections, waits for the proxy's goroutines and frees the port.
 func (p *proxy) close() {
+	p.stop()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.port != nil {
+		p.port.release()
+		p.port = nil
+	}
+}
+
+// crash refuses connections from now on, and keeps the port until close is called.
+func (p *proxy) crash() error {
+	p.stop()
+	port, err := reservePort(p.address())
+	if err != nil {
+		return err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.port = port
+	return nil
+}
+
+func (p *proxy) stop() {
 	p.mu.Lock()
 	p.closed = true
 	p.mu.Unlock()
