--- a/transport/http1/unfinished.go
+++ b/transport/http1/unfinished.go
@@ -14,7 +14,7 @@
 // unfinished holds the exchanges whose response is larger than smallResponse and not complete. Each can occupy a head or
 // body of 64 KB until its call is given up, so their number bounds the memory that upstreams can fill.
 type unfinished struct {
-	mu       sync.Mutex
+	mu       sync.Mutex // no other lock is taken while it is held
 	order    *list.List // of unfinishedResponse, the one that has been read for longest first
 	elements map[*Exchange]*list.Element
 }
