--- a/standin/shard/stutter.go
+++ b/standin/shard/duplicate.go
@@ -12,9 +12,9 @@
 	"pistachioshore.dev/pool"
 )
 
-// serveStuttering responds to an executed request, and then to all further ones on its connection. Before each further
+// serveDuplicating responds to an executed request, and then to all further ones on its connection. Before each further
 // response it sends a copy of the one before, until the behaviour of the server changes.
-func (s *Server) serveStuttering(w http.ResponseWriter, r *http.Request, b Behaviour) {
+func (s *Server) serveDuplicating(w http.ResponseWriter, r *http.Request, b Behaviour) {
 	c, buffered, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		return // the connection was closed
@@ -23,15 +23,15 @@
 	last := s.rawResponse(r, b)
 	_, err = c.Write(last)
 	for err == nil {
-		last, err = s.stutter(c, buffered.Reader, last)
+		last, err = s.serveNext(c, buffered.Reader, last)
 	}
 }
 
-// errCalm ends a connection on which the server no longer stutters.
-var errCalm = errors.New("server no longer stutters")
+// errNoDuplicates ends a connection on which the server no longer sends duplicates.
+var errNoDuplicates = errors.New("server no longer sends duplicates")
 
-// stutter serves the next request of a connection, and sends a copy of the last response before its response.
-func (s *Server) stutter(c io.Writer, br *bufio.Reader, last []byte) ([]byte, error) {
+// serveNext serves the next request of a connection, and sends a copy of the last response before its response.
+func (s *Server) serveNext(c io.Writer, br *bufio.Reader, last []byte) ([]byte, error) {
 	r, err := http.ReadRequest(br)
 	if err != nil {
 		return nil, err // the caller closed the connection
@@ -41,8 +41,8 @@
 		return nil, err
 	}
 	b := s.currentBehaviour()
-	if b != Stuttering && b != StutteringMutely {
-		return nil, errCalm
+	if b != Duplicating && b != DuplicatingNoID {
+		return nil, errNoDuplicates
 	}
 	if _, err := c.Write(last); err != nil {
 		return nil, err
@@ -67,7 +67,7 @@
 	id := r.Header.Get("X-Pistachioshore-Request-Id")
 	record := Record(s.id, r.RequestURI)
 	head := "HTTP/1.1 200 OK\r\n"
-	if b != StutteringMutely {
+	if b != DuplicatingNoID {
 		head += "X-Pistachioshore-Request-Id: " + id + "\r\n"
 	}
 	return fmt.Appendf(nil, "%sX-Pistachioshore-Response-Stamp: %s\r\nContent-Length: %d\r\n\r\n%s", head, Stamp(s.id, id, record), len(record), record)
--- a/standin/shard/shard.go
+++ b/standin/shard/shard.go
@@ -27,22 +27,22 @@
 
 // Behaviours of a server.
 const (
-	Normal           Behaviour = ""             // executes the request and sends a signed response
-	Shedding         Behaviour = "shed"         // answers 503 without executing the request
-	Failing          Behaviour = "fail"         // executes the request and answers 500
-	DroppingResponse Behaviour = "lose"         // executes the request and closes the connection without a response
-	Hanging          Behaviour = "mute"         // executes the request and never responds
-	WrongInstance    Behaviour = "other"        // answers 421, as another server that took over the address
-	Unsigned         Behaviour = "unsign"       // responds without a signature
-	Leaving          Behaviour = "leave"        // executes the request and says that it is about to leave
-	Resting          Behaviour = "rest"         // answers 503 without executing the request and asks for no more for a while
-	EndlessHead      Behaviour = "endless-head" // executes the request and sends a header that does not end
-	EndlessBody      Behaviour = "endless-body" // executes the request and sends a body that does not end
-	LateCopy         Behaviour = "copy"         // responds, and sends a copy of the response a little later
-	Stuttering       Behaviour = "stutter"      // responds, and sends a copy where the next response on the connection is expected
-	StutteringMutely Behaviour = "stutter-mute" // the same, and no response echoes the request's ID
-	Limiting         Behaviour = "limit"        // responds, and names RequestLimit
-	Crashing         Behaviour = "crash"        // stops for good when it begins to execute a request for a CrashingTarget
+	Normal           Behaviour = ""                // executes the request and sends a signed response
+	Shedding         Behaviour = "shed"            // answers 503 without executing the request
+	Failing          Behaviour = "fail"            // executes the request and answers 500
+	DroppingResponse Behaviour = "lose"            // executes the request and closes the connection without a response
+	Hanging          Behaviour = "mute"            // executes the request and never responds
+	WrongInstance    Behaviour = "other"           // answers 421, as another server that took over the address
+	Unsigned         Behaviour = "unsign"          // responds without a signature
+	Leaving          Behaviour = "leave"           // executes the request and says that it is about to leave
+	Resting          Behaviour = "rest"            // answers 503 without executing the request and asks for no more for a while
+	EndlessHead      Behaviour = "endless-head"    // executes the request and sends a header that does not end
+	EndlessBody      Behaviour = "endless-body"    // executes the request and sends a body that does not end
+	LateCopy         Behaviour = "copy"            // responds, and sends a copy of the response a little later
+	Duplicating      Behaviour = "duplicate"       // responds, and sends a copy where the next response on the connection is expected
+	DuplicatingNoID  Behaviour = "duplicate-no-id" // the same, and no response echoes the request's ID
+	Limiting         Behaviour = "limit"           // responds, and names RequestLimit
+	Crashing         Behaviour = "crash"           // stops for good when it begins to execute a request for a CrashingTarget
 )
 
 // RequestLimit is the number of requests a second, of all VMs together, that a server with the behaviour Limiting names.
@@ -265,8 +265,8 @@
 	case Hanging:
 		<-r.Context().Done()
 		return
-	case Stuttering, StutteringMutely:
-		s.serveStuttering(w, r, b)
+	case Duplicating, DuplicatingNoID:
+		s.serveDuplicating(w, r, b)
 		return
 	case EndlessHead, EndlessBody, LateCopy:
 		s.respondRaw(w, b, Stamp(s.id, requestID, record), requestID, record)
--- a/standin/soak/actions.go
+++ b/standin/soak/actions.go
@@ -52,8 +52,8 @@
 // firstCrashingSeed is the first seed whose clients also send requests that stop each server that executes them.
 const firstCrashingSeed = 2000
 
-// firstStutteringSeed is the first seed that also draws servers that answer twice.
-const firstStutteringSeed = 3000
+// firstDuplicatingSeed is the first seed that also draws servers that answer twice.
+const firstDuplicatingSeed = 3000
 
 // schedule draws the actions of a seed; they come in bursts and overlap. Even seeds draw no store faults, because
 // the bounds on how soon VMs apply a change are not checked for any VM during these.
@@ -171,8 +171,8 @@
 		if s.extended {
 			list = append(list, shard.Resting, shard.EndlessHead, shard.EndlessBody, shard.LateCopy)
 		}
-		if s.stuttering {
-			list = append(list, shard.Stuttering, shard.StutteringMutely)
+		if s.duplicating {
+			list = append(list, shard.Duplicating, shard.DuplicatingNoID)
 		}
 		srv.SetBehaviour(list[a.selector/7%uint64(len(list))])
 		wait(a.duration, done)
--- a/standin/soak/cluster.go
+++ b/standin/soak/cluster.go
@@ -21,7 +21,7 @@
 type cluster struct {
 	crashing       bool // requests are sent that stop each server that executes them
 	extended       bool // further behaviours of servers and odd entries are drawn
-	stuttering     bool // servers that answer twice are drawn
+	duplicating    bool // servers that answer twice are drawn
 	store          *kv.Store
 	storeServer    *http.Server
 	storeAddress   netip.AddrPort
@@ -52,7 +52,7 @@
 		return nil, errors.Wrap(err, "listen for the store")
 	}
 	s := &cluster{
-		extended: set.Seed >= firstExtendedSeed, crashing: set.Seed >= firstCrashingSeed, stuttering: set.Seed >= firstStutteringSeed,
+		extended: set.Seed >= firstExtendedSeed, crashing: set.Seed >= firstCrashingSeed, duplicating: set.Seed >= firstDuplicatingSeed,
 		store: kv.New(), history: newHistory(), storeAddress: netip.MustParseAddrPort(l.Addr().String()),
 	}
 	s.storeServer = &http.Server{Handler: s.store}
