Serve teams with API keys and quotas

Cause: nothing in the code knew the teams of the configuration. Keys were passed on to upstreams, unknown and withdrawn keys were served, and teams had no limit.

A request now runs for the team that holds its key. The VM decides before it reads the body: route, freshness of its configuration, key, quota. The key ends at that VM; upstreams and parts of queries carry the team's name. Where withdrawals are strict, a VM proves once a second, by a question to the store or to another VM, as of when its configuration is current. VMs admit requests by their own token buckets and exchange the numbers, with debt.

Ruled out (docs/design/teams.md): fixed shares, shares that follow demand, leases from an owner.

--- a/aggregator/memberlist.go
+++ b/aggregator/memberlist.go
@@ -117,6 +117,11 @@
 	})
 }
 
+// MembersByZone returns the number of VMs in each zone, counted as Count does.
+func (l *MemberList) MembersByZone(now time.Time) map[string]int {
+	return table.WithResult(l.state, func(s *memberList) map[string]int { return s.membersByZone(now) })
+}
+
 // ZoneCount returns the number of VMs known in this VM's zone, itself included.
 func (l *MemberList) ZoneCount(now time.Time) int {
 	return table.WithResult(l.state, func(s *memberList) int { return s.seenByZone(now)[s.self.Zone] })
--- a/codec/envelope.go
+++ b/codec/envelope.go
@@ -21,6 +21,8 @@
 		{"cancel", e.Cancel != nil},
 		{"config-request", e.ConfigRequest != nil},
 		{"config-value", e.ConfigValue != nil},
+		{"freshness-answer", e.FreshnessAnswer != nil},
+		{"freshness-question", e.FreshnessQuestion != nil},
 		{"handover", e.Handover != nil},
 		{"heartbeat", e.Heartbeat != nil},
 		{"hello", e.Hello != nil},
@@ -32,8 +34,10 @@
 		{"query-confirm", e.QueryConfirm != nil},
 		{"query-forward", e.QueryForward != nil},
 		{"query-result", e.QueryResult != nil},
+		{"quota-levels", e.QuotaLevels != nil},
 		{"sub-requests", e.SubRequests != nil},
 		{"upstream-draining", e.UpstreamDraining != nil},
+		{"usage-report", e.UsageReport != nil},
 	}
 }
 
--- a/codec/kinds.go
+++ b/codec/kinds.go
@@ -21,4 +21,9 @@
 	KindQueryConfirm  = "query-confirm"     // the sender waits for the receiver alone, which may now retry and hedge
 	KindQueryResult   = "query-result"      // answer to a forwarded query
 	KindQueryCancel   = "query-cancel"      // the answer is no longer needed
+
+	KindUsageReport       = "usage-report"       // requests of teams that the sender has admitted
+	KindQuotaLevels       = "quota-levels"       // teams that have little left of their quota
+	KindFreshnessQuestion = "freshness-question" // asks as of when the receiver's configuration is current
+	KindFreshnessAnswer   = "freshness-answer"   // answers a freshness question
 )
--- a/event/event.go
+++ b/event/event.go
@@ -25,34 +25,35 @@
 	ProcessStarted
 	ProcessStopping
 	ProcessStopped
-	SettingsReloaded // changed settings of the process are applied
-	ProcessReady     // the VM is ready to serve requests
-	ConfigAccepted   // a new configuration is in use
-	ConfigRejected   // a new configuration is invalid, and the VM keeps the last valid one
-	ZoneEvacuated    // operators evacuated a zone, or ended its evacuation
-	VMIsolated       // a route cannot be served because other zones are unreachable, or can be served again
-	ServerChanged    // an upstream was added, changed, started to drain or was removed
-	EntryRejected    // an entry of the platform's store is invalid
-	UpstreamDraining // an upstream said in a response, to this VM or to another one, that it drains
-	UpstreamResting  // an upstream asked this VM for no requests for a while
-	UpstreamLimited  // an upstream began or ceased to name a limit for the requests of all VMs
-	CrashSuspected   // an upstream crashed while running a request
-	StoreLost        // the platform's store stopped answering
-	StoreRecovered   // the platform's state is available again
-	FollowingPeers   // the VM switched to taking the platform's state from other VMs, or back to the store
-	PeerLost         // a VM that this one connects to stopped sending heartbeats
-	PeerFound        // a heartbeat of a new VM was received
-	ProcessPaused    // the process was suspended
-	Panic            // a task caused a panic, which ended its request, connection or call but not the process
-	LinesDropped     // log lines were dropped
-	Problem          // an unexpected condition that does not concern a single request
+	SettingsReloaded  // changed settings of the process are applied
+	ProcessReady      // the VM is ready to serve requests
+	ConfigAccepted    // a new configuration is in use
+	ConfigRejected    // a new configuration is invalid, and the VM keeps the last valid one
+	ConfigUnconfirmed // requests with an API key are refused because the configuration may be out of date, or no longer are
+	ZoneEvacuated     // operators evacuated a zone, or ended its evacuation
+	VMIsolated        // a route cannot be served because other zones are unreachable, or can be served again
+	ServerChanged     // an upstream was added, changed, started to drain or was removed
+	EntryRejected     // an entry of the platform's store is invalid
+	UpstreamDraining  // an upstream said in a response, to this VM or to another one, that it drains
+	UpstreamResting   // an upstream asked this VM for no requests for a while
+	UpstreamLimited   // an upstream began or ceased to name a limit for the requests of all VMs
+	CrashSuspected    // an upstream crashed while running a request
+	StoreLost         // the platform's store stopped answering
+	StoreRecovered    // the platform's state is available again
+	FollowingPeers    // the VM switched to taking the platform's state from other VMs, or back to the store
+	PeerLost          // a VM that this one connects to stopped sending heartbeats
+	PeerFound         // a heartbeat of a new VM was received
+	ProcessPaused     // the process was suspended
+	Panic             // a task caused a panic, which ended its request, connection or call but not the process
+	LinesDropped      // log lines were dropped
+	Problem           // an unexpected condition that does not concern a single request
 
 	kindCount
 )
 
 var kindNames = [kindCount]string{
 	"none", "refused", "failed", "partial", "attempt", "hedged", "abandoned", "part-cancelled", "relayed", "relay-failed", "answered",
-	"started", "stopping", "stopped", "reloaded", "ready", "config-accepted", "config-rejected",
+	"started", "stopping", "stopped", "reloaded", "ready", "config-accepted", "config-rejected", "config-unconfirmed",
 	"zone-evacuated", "isolated", "server-changed", "entry-rejected", "upstream-draining", "upstream-resting", "upstream-limited", "crash-suspected", "store-lost", "store-regained", "following", "peer-lost", "peer-found",
 	"paused", "panic", "dropped", "problem",
 }
@@ -97,6 +98,7 @@
 	InFlight      Key = "running"  // requests in flight at the VM
 	Status        Key = "status"   // HTTP status
 	Reason        Key = "reason"   // reason for the decision, as text
+	Team          Key = "team"     // team that sent the request
 	Limit         Key = "limit"    // requests a second that an upstream takes from all VMs, 0 for no limit
 	Count         Key = "count"    // number of items that the event is about
 	Peer          Key = "peer"     // address of another VM
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -8,9 +8,11 @@
 	"net/netip"
 	"time"
 
+	"pistachioshore.dev/quota"
 	"pistachioshore.dev/replica"
 	"pistachioshore.dev/result"
 	"pistachioshore.dev/route"
+	"pistachioshore.dev/team"
 )
 
 // Handler answers client requests.
@@ -37,6 +39,11 @@
 	ConfigVersion uint64 // configuration version that must serve a relayed request
 	Shards        []int  // positions of the shards in the route, if the request is a part of a query; nil for a whole one
 	PriorAttempts int    // attempts per shard that other VMs may have made already
+
+	Key      team.Key // digest of the client's API key; zero if it sent none, or if the request is relayed
+	Team     string   // team that the key belongs to; empty if the route needs none
+	Priority int      // urgency of the team, or of the route; 0 is the most urgent
+
 	// OnProgress, if not nil, receives the present answer to a part of a query when the query could be answered without
 	// the shards that are missing, and from then on now and then. It must not block.
 	OnProgress func(a Answer)
@@ -135,4 +142,8 @@
 	RetryBurst  int     // further retries and hedges per measurement window of the platform, summed over all VMs
 	MaxInFlight int     // requests that this VM serves concurrently
 	Workers     int     // worker goroutines that process results and timers
+
+	RevocationBound time.Duration        // longest time after the withdrawal of an API key in which it may be used; 0 for no bound
+	Quota           quota.Settings       // tolerances in the enforcement of the teams' quotas
+	BootClock       func() time.Duration // time since the VM booted, including suspensions; needed with RevocationBound
 }
--- a/forward/query.go
+++ b/forward/query.go
@@ -285,14 +285,18 @@
 	}
 }
 
-// send starts an attempt, unless its replica no longer accepts requests, or the request has crashed upstreams since the
-// query began.
+// send starts an attempt, unless its replica no longer accepts requests, or since the query began the request has crashed
+// upstreams or its API key was withdrawn.
 func (q *query) send(a gather.Attempt) {
 	now := time.Now()
 	if a.Number > 1 && q.vm.crashTracker.Blocked(now, q.fingerprint) {
 		q.failUnsent(a, result.Quarantined)
 		return
 	}
+	if q.vm.teamWithdrawn(q.req) || (a.Number > 1 && q.req.Team != "" && q.vm.confirm().code != 0) {
+		q.failUnsent(a, result.KeyRejected)
+		return
+	}
 	service := q.cfg.Services[q.shards[a.Shard].Service]
 	handle, ok := q.vm.replicas.StartAttempt(now, a.Server, service, q.limitShare())
 	if !ok {
--- a/forward/stats.go
+++ b/forward/stats.go
@@ -27,6 +27,15 @@
 	Code  result.Code
 }
 
+// maxTeamPriority is the largest priority that is counted by itself, to bound the number of metric series.
+const maxTeamPriority = 7
+
+// TeamCode is the priority of requests of teams with the code of their refusal, or Complete if they were admitted.
+type TeamCode struct {
+	Priority int // at most maxTeamPriority
+	Code     result.Code
+}
+
 // Histogram counts durations per bucket. The last bucket has no upper bound.
 type Histogram struct {
 	Counts [len(bucketBounds) + 1]uint64 // durations in each bucket
@@ -61,11 +70,12 @@
 	Hedges            uint64
 	Retries           uint64
 	AttemptFailures   map[result.Code]uint64 // failed attempts by code
+	Teams             map[TeamCode]uint64    // requests of teams, by urgency and whether they were admitted
 }
 
 func newStats() *Stats {
 	return &Stats{state: table.NewGuarded(table.RankShutdown, StatsSnapshot{
-		Requests: map[RouteCode]uint64{}, Latency: map[string]Histogram{}, AttemptFailures: map[result.Code]uint64{},
+		Requests: map[RouteCode]uint64{}, Latency: map[string]Histogram{}, AttemptFailures: map[result.Code]uint64{}, Teams: map[TeamCode]uint64{},
 	})}
 }
 
@@ -76,6 +86,7 @@
 		out.Requests = cloneMap(c.Requests)
 		out.Latency = cloneMap(c.Latency)
 		out.AttemptFailures = cloneMap(c.AttemptFailures)
+		out.Teams = cloneMap(c.Teams)
 		return out
 	})
 }
@@ -119,3 +130,9 @@
 func (s *Stats) recordFailure(code result.Code) {
 	s.state.With(func(c *StatsSnapshot) { c.AttemptFailures[code]++ })
 }
+
+// recordTeam counts a request of a team that was admitted, with code Complete, or refused.
+func (s *Stats) recordTeam(code result.Code, priority int) {
+	key := TeamCode{Priority: min(max(priority, 0), maxTeamPriority), Code: code}
+	s.state.With(func(c *StatsSnapshot) { c.Teams[key]++ })
+}
--- /dev/null
+++ b/forward/team.go
@@ -0,0 +1,175 @@
+package forward
+
+import (
+	"fmt"
+	"time"
+
+	"pistachioshore.dev/freshness"
+	"pistachioshore.dev/quota"
+	"pistachioshore.dev/result"
+	"pistachioshore.dev/route"
+	"pistachioshore.dev/team"
+)
+
+// unconfirmedRetryAfter is the time after which a client may return whose key this VM cannot confirm at the moment. Another
+// VM answers a question about it within a few milliseconds.
+const unconfirmedRetryAfter = 100 * time.Millisecond
+
+// teams decides on behalf of which team a request may run.
+type teams struct {
+	freshness *freshness.Table
+	quotas    *quota.Table
+	bootClock func() time.Duration
+
+	onAdmitted    func() // called when a request was counted against a quota; must not block
+	onUnconfirmed func() // called when a request was refused because the configuration may be out of date; must not block
+}
+
+func newTeams(s Settings) *teams {
+	clock := s.BootClock
+	if clock == nil {
+		started := time.Now()
+		clock = func() time.Duration { return time.Since(started) }
+	}
+	return &teams{
+		freshness: freshness.New(freshness.Settings{Bound: s.RevocationBound}), quotas: quota.New(s.Quota), bootClock: clock,
+		onAdmitted: func() {}, onUnconfirmed: func() {},
+	}
+}
+
+// Freshness returns the proofs that this VM knows of all withdrawn API keys.
+func (vm *VM) Freshness() *freshness.Table {
+	return vm.teams.freshness
+}
+
+// Quotas returns the quotas of the teams.
+func (vm *VM) Quotas() *quota.Table {
+	return vm.teams.quotas
+}
+
+// OnAdmitted sets the function to call when a request was counted against the quota of its team. It must not block.
+func (vm *VM) OnAdmitted(notify func()) {
+	vm.teams.onAdmitted = notify
+}
+
+// OnUnconfirmed sets the function to call when a request was refused because the configuration may be out of date. It must
+// not block.
+func (vm *VM) OnUnconfirmed(notify func()) {
+	vm.teams.onUnconfirmed = notify
+}
+
+// Authorize decides whether a client's request may be read and served: the configuration has a route for it, and the
+// request has the API key of a team that has not used up its quota. It sets the request's team and priority, or returns the
+// answer and false. It needs neither the body nor a slot, so that a refused request costs little.
+func (vm *VM) Authorize(req *Request) (Answer, bool) {
+	cfg, denied := vm.config(req)
+	if denied.code != 0 {
+		return vm.refuse(req, nil, 0, denied), false
+	}
+	r, ok := cfg.Match(req.Host, req.Path)
+	if !ok {
+		return vm.refuse(req, nil, cfg.Version, unknownRoute), false
+	}
+	req.Priority = r.Priority
+	if cfg.Teams == nil {
+		return Answer{}, true
+	}
+	if denied := vm.authorizeTeam(req, cfg, r); denied.code != 0 {
+		a := vm.refuse(req, r, cfg.Version, denied)
+		vm.stats.recordTeam(denied.code, req.Priority)
+		return a, false
+	}
+	vm.stats.recordTeam(result.Complete, req.Priority)
+	return Answer{}, true
+}
+
+// unknownRoute refuses a request for which the configuration has no route.
+var unknownRoute = refusal{code: result.UnknownRoute, reason: "no route for host and path"}
+
+// authorizeTeam identifies the team of a request and counts the request against its quota.
+func (vm *VM) authorizeTeam(req *Request, cfg *route.Config, r *route.Route) refusal {
+	t := cfg.Teams.Lookup(req.Key)
+	if r.Public {
+		if t != nil {
+			req.Team = t.Name
+		}
+		return refusal{}
+	}
+	if denied := vm.confirm(); denied.code != 0 {
+		return denied
+	}
+	if t == nil {
+		return rejectedKey(req.Key)
+	}
+	req.Team, req.Priority = t.Name, t.PriorityOr(r.Priority)
+	ok, retry := vm.teams.quotas.Admit(time.Now(), t.Name, t.Quota)
+	if !ok {
+		reason := fmt.Sprintf("quota of %g requests a second and a burst of %g is used up", t.Quota.Rate, t.Quota.Burst)
+		return refusal{code: result.QuotaExceeded, reason: reason, retryAfter: retry}
+	}
+	if t.Quota.Limited() {
+		vm.teams.onAdmitted()
+	}
+	return refusal{}
+}
+
+func rejectedKey(k team.Key) refusal {
+	if k.IsZero() {
+		return refusal{code: result.KeyRejected, reason: "no API key"}
+	}
+	return refusal{code: result.KeyRejected, reason: "the API key belongs to no team"}
+}
+
+// confirm refuses requests with a key unless the configuration is known to hold all keys that were withdrawn in time.
+func (vm *VM) confirm() refusal {
+	t := vm.teams
+	if !t.freshness.Required() {
+		return refusal{}
+	}
+	now := t.bootClock()
+	if t.freshness.Current(now) {
+		return refusal{}
+	}
+	t.onUnconfirmed()
+	reason := "the configuration was never confirmed"
+	if age, ok := t.freshness.Age(now); ok {
+		reason = fmt.Sprintf("the configuration was last confirmed %v ago", age)
+	}
+	return refusal{code: result.ConfigUnconfirmed, reason: reason, retryAfter: unconfirmedRetryAfter}
+}
+
+// recheckTeam refuses a request whose key was withdrawn since it was authorized. A part of another VM's query has no key; it
+// is refused if its team is gone, or if this VM cannot confirm its configuration.
+func (vm *VM) recheckTeam(req *Request) refusal {
+	if vm.teamWithdrawn(req) {
+		return refusal{code: result.KeyRejected, reason: "the API key was withdrawn"}
+	}
+	if req.Relayed && req.Team != "" && vm.confirm().code != 0 {
+		return refusal{code: result.NotReady, reason: "the configuration cannot be confirmed"}
+	}
+	return refusal{}
+}
+
+// teamWithdrawn reports whether the configuration in force no longer has the key of the request, or for a relayed one its
+// team.
+func (vm *VM) teamWithdrawn(req *Request) bool {
+	if req.Team == "" {
+		return false
+	}
+	cfg := vm.routes.Current()
+	switch {
+	case cfg == nil || cfg.Teams == nil:
+		return false
+	case req.Relayed:
+		return cfg.Teams.Named(req.Team) == nil
+	default:
+		return !cfg.Teams.Holds(req.Team, req.Key)
+	}
+}
+
+// returnQuota takes back the count of a request that has certainly not run.
+func (vm *VM) returnQuota(req *Request, a Answer) {
+	if req.Team != "" && !req.Relayed && a.Code.Effect() == result.NotRun {
+		vm.teams.quotas.Return(time.Now(), req.Team)
+	}
+}
--- a/forward/vm.go
+++ b/forward/vm.go
@@ -33,6 +33,7 @@
 	events       event.Recorder
 	stats        *Stats
 	crashTracker *quarantine.CrashTracker
+	teams        *teams
 	onCrash      func(c quarantine.Crash)                 // reports a crash to other VMs
 	onDraining   func(server string, startedAt time.Time) // reports a draining upstream to other VMs
 
@@ -65,6 +66,7 @@
 		shardBudgets: newRetryBudgets(s.RetryRatio * retryBudgetUtilization),
 		stats:        newStats(),
 		crashTracker: quarantine.NewCrashTracker(quarantine.DefaultCrashTrackerSettings()),
+		teams:        newTeams(s),
 		onCrash:      func(quarantine.Crash) {},
 		onDraining:   func(string, time.Time) {},
 		ending:       make(chan struct{}),
@@ -143,13 +145,17 @@
 // Serve returns the answer to a request.
 func (vm *VM) Serve(ctx context.Context, req *Request) (a Answer) {
 	defer vm.containPanic(req, &a)
+	defer func() { vm.returnQuota(req, a) }()
 	cfg, denied := vm.config(req)
 	if denied.code != 0 {
 		return vm.refuse(req, nil, 0, denied)
 	}
 	r, ok := cfg.Match(req.Host, req.Path)
 	if !ok {
-		return vm.refuse(req, nil, cfg.Version, refusal{code: result.UnknownRoute, reason: "no route for host and path"})
+		return vm.refuse(req, nil, cfg.Version, unknownRoute)
+	}
+	if denied := vm.recheckTeam(req); denied.code != 0 {
+		return vm.refuse(req, r, cfg.Version, denied)
 	}
 	fingerprint := fingerprintOf(req)
 	if vm.crashTracker.Blocked(time.Now(), fingerprint) {
@@ -221,9 +227,15 @@
 	}
 	a := Answer{Code: denied.code, RetryAfter: max(retryAfter(denied.code), denied.retryAfter)}
 	vm.stats.recordRequest(name, a.Code, time.Since(req.ReceivedAt))
-	vm.events.Record(event.RequestRefused, event.F(event.RequestID, req.ID), event.F(event.Route, name),
+	fields := []event.Field{
+		event.F(event.RequestID, req.ID), event.F(event.Route, name),
 		event.F(event.Code, a.Code), event.F(event.Reason, denied.reason), event.F(event.Version, version),
-		event.F(event.InFlight, vm.InFlight()), event.F(event.Delay, a.RetryAfter), event.F(event.Elapsed, time.Since(req.ReceivedAt)))
+		event.F(event.InFlight, vm.InFlight()), event.F(event.Delay, a.RetryAfter), event.F(event.Elapsed, time.Since(req.ReceivedAt)),
+	}
+	if req.Team != "" {
+		fields = append(fields, event.F(event.Team, req.Team))
+	}
+	vm.events.Record(event.RequestRefused, fields...)
 	return a
 }
 
@@ -231,7 +243,7 @@
 // clients do not all retry at the same time.
 func retryAfter(code result.Code) time.Duration {
 	switch code {
-	case result.UnknownRoute, result.Quarantined:
+	case result.UnknownRoute, result.Quarantined, result.KeyRejected, result.QuotaExceeded, result.ConfigUnconfirmed:
 		return 0
 	case result.NotReady, result.Stopping:
 		return minRetryAfter
--- a/member/member.go
+++ b/member/member.go
@@ -88,6 +88,8 @@
 	worker      *pool.Pool[func()]
 	settings    fleet.Settings
 	peerState   *table.Guarded[peerState]
+	incarnation uint64
+	teams       *teamExchange // nil if the VM exchanges nothing about teams
 }
 
 // peerState is the state of the exchange with other VMs.
@@ -115,7 +117,7 @@
 	vm := aggregator.VM{Address: self.Address, Zone: self.Zone, Cores: cores}
 	m := &Member{
 		fleet: fleet.New(self, s, now), members: aggregator.NewMemberList(vm, now), aggregators: aggregators, self: vm,
-		peers: peers, state: state, queries: queries, listener: listener, events: events, settings: s,
+		peers: peers, state: state, queries: queries, listener: listener, events: events, settings: s, incarnation: self.Incarnation,
 		peerState: table.NewGuarded(table.RankShutdown, peerState{connected: map[netip.AddrPort]bool{}}),
 	}
 	m.worker = pool.New(1, func(task func()) { task() })
@@ -135,6 +137,9 @@
 // Run maintains the membership and sends heartbeats until ctx is cancelled.
 func (m *Member) Run(ctx context.Context) {
 	lastHeartbeat := time.Time{}
+	if m.teams != nil {
+		go m.runUsage(ctx)
+	}
 	for {
 		now := time.Now()
 		m.tick(now)
@@ -179,6 +184,7 @@
 	m.disconnectUnneeded(now)
 	m.publishTier(now)
 	m.updateFollowing(now)
+	m.tickTeams(now)
 }
 
 // Receive handles a message from another VM.
@@ -192,6 +198,9 @@
 }
 
 func (m *Member) handle(now time.Time, from netip.AddrPort, e *wire.Envelope) {
+	if m.handleTeamMessage(now, from, e) {
+		return
+	}
 	switch {
 	case e.Heartbeat != nil:
 		m.handleHeartbeat(now, from, e.Heartbeat)
@@ -289,7 +298,10 @@
 // Connected tells a VM what was reported before there was a connection to it. Reports are sent once, and to the connected
 // VMs only, so that a VM that starts, or returns from a partition, has missed them.
 func (m *Member) Connected(vm netip.AddrPort) {
-	m.worker.Submit(func() { m.introduce(time.Now(), vm) })
+	m.worker.Submit(func() {
+		m.forgetMet(vm)
+		m.introduce(time.Now(), vm)
+	})
 }
 
 func (m *Member) introduce(now time.Time, vm netip.AddrPort) {
--- a/result/result.go
+++ b/result/result.go
@@ -61,6 +61,7 @@
 	RevisionConflict // another configuration with the same revision is active
 	ValueTooLarge
 	MissingField
+	KeyRejected // no API key, or one that belongs to no team
 )
 
 // Codes of refused requests and of shards missing from an answer.
@@ -79,7 +80,9 @@
 	UpstreamLeaving  // the upstream is being drained
 	OwnerUnreachable // the VM that owns the upstream cannot be reached
 	Cancelled
-	PermitVoid // the issuer has revoked its unused permits
+	PermitVoid        // the issuer has revoked its unused permits
+	QuotaExceeded     // the team has used up its quota
+	ConfigUnconfirmed // the VM cannot prove that it knows of all withdrawn API keys
 )
 
 // Codes of requests whose outcome is unknown.
@@ -126,6 +129,7 @@
 	RevisionConflict:   {"revision-conflict", NotRun},
 	ValueTooLarge:      {"value-too-large", NotRun},
 	MissingField:       {"missing-field", NotRun},
+	KeyRejected:        {"key-rejected", NotRun},
 	DeadlineExpired:    {"deadline-expired", NotRun},
 	Overloaded:         {"overloaded", NotRun},
 	NotReady:           {"not-ready", NotRun},
@@ -141,6 +145,8 @@
 	OwnerUnreachable:   {"owner-unreachable", NotRun},
 	Cancelled:          {"cancelled", NotRun},
 	PermitVoid:         {"permit-void", NotRun},
+	QuotaExceeded:      {"quota-exceeded", NotRun},
+	ConfigUnconfirmed:  {"config-unconfirmed", NotRun},
 	OutcomeUnknown:     {"outcome-unknown", MayHaveRun},
 	IssuerGone:         {"issuer-gone", MayHaveRun},
 	PermitForgotten:    {"permit-forgotten", MayHaveRun},
--- a/route/route.go
+++ b/route/route.go
@@ -8,6 +8,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"pistachioshore.dev/team"
 )
 
 // Target is a service that receives a weighted share of a route's requests.
@@ -31,6 +33,7 @@
 	TopK          int           // maximum number of records in the answer of a sharded route
 	MinCoverage   float64       // fraction of the shards that an answer must cover, from 0 to 1
 	Regions       []string      // regions whose servers may be used; empty for all
+	Public        bool          // requests need no API key
 }
 
 // Sharded reports whether the route's requests are fanned out to shards.
@@ -61,6 +64,7 @@
 	Routes       []Route
 	Services     map[string]Service // by name
 	Limits       Limits
+	Teams        *team.Directory     // teams that may send requests; nil if requests need no API key
 	routesByHost map[string][]*Route // by host, longest prefix first
 }
 
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -213,6 +213,12 @@
 	// ConfigValue corresponds to the JSON schema field "config-value".
 	ConfigValue *ConfigValue `json:"config-value,omitempty,omitzero"`
 
+	// FreshnessAnswer corresponds to the JSON schema field "freshness-answer".
+	FreshnessAnswer *FreshnessAnswer `json:"freshness-answer,omitempty,omitzero"`
+
+	// FreshnessQuestion corresponds to the JSON schema field "freshness-question".
+	FreshnessQuestion *FreshnessQuestion `json:"freshness-question,omitempty,omitzero"`
+
 	// Handover corresponds to the JSON schema field "handover".
 	Handover *Handover `json:"handover,omitempty,omitzero"`
 
@@ -249,11 +255,17 @@
 	// QueryResult corresponds to the JSON schema field "query-result".
 	QueryResult *QueryResult `json:"query-result,omitempty,omitzero"`
 
+	// QuotaLevels corresponds to the JSON schema field "quota-levels".
+	QuotaLevels *QuotaLevels `json:"quota-levels,omitempty,omitzero"`
+
 	// SubRequests corresponds to the JSON schema field "sub-requests".
 	SubRequests *SubRequests `json:"sub-requests,omitempty,omitzero"`
 
 	// UpstreamDraining corresponds to the JSON schema field "upstream-draining".
 	UpstreamDraining *UpstreamDraining `json:"upstream-draining,omitempty,omitzero"`
+
+	// UsageReport corresponds to the JSON schema field "usage-report".
+	UsageReport *UsageReport `json:"usage-report,omitempty,omitzero"`
 }
 
 // ExecuteRequest runs a non-idempotent operation.
@@ -289,6 +301,27 @@
 	Kind string `json:"kind,omitempty,omitzero"`
 }
 
+// FreshnessAnswer tells that the sender knew all changes of the configuration up
+// to a time before it answered.
+type FreshnessAnswer struct {
+	// Age is the time between the proof that the sender has and its answer.
+	Age time.Duration `json:"age"`
+
+	// Cursor is the revision of the last change of the configuration that the sender
+	// knows.
+	Cursor uint64 `json:"cursor"`
+
+	// Sequence corresponds to the JSON schema field "sequence".
+	Sequence uint64 `json:"sequence"`
+}
+
+// FreshnessQuestion asks as of when the receiver's configuration is known to be
+// current.
+type FreshnessQuestion struct {
+	// Sequence corresponds to the JSON schema field "sequence".
+	Sequence uint64 `json:"sequence"`
+}
+
 // GroupSettings is a set of services whose servers have the same limits.
 type GroupSettings struct {
 	// Number of requests that one server can run concurrently during a cold start.
@@ -714,6 +747,9 @@
 	// Method corresponds to the JSON schema field "method".
 	Method string `json:"method"`
 
+	// Priority is the urgency of the request; 0 is the most urgent.
+	Priority int `json:"priority,omitempty,omitzero"`
+
 	// RequestID corresponds to the JSON schema field "request-id".
 	RequestID string `json:"request-id"`
 
@@ -723,6 +759,10 @@
 	// Target corresponds to the JSON schema field "target".
 	Target string `json:"target"`
 
+	// Team is the team that the request's API key belongs to; empty if the route
+	// needs none.
+	Team string `json:"team,omitempty,omitzero"`
+
 	// Transit is the time that the request and its answer spend between client and
 	// sender.
 	Transit time.Duration `json:"transit"`
@@ -783,6 +823,13 @@
 	Stamps []string `json:"stamps"`
 }
 
+// QuotaLevels tells the VMs that report to the sender which teams have little left
+// of their quota.
+type QuotaLevels struct {
+	// Levels corresponds to the JSON schema field "levels".
+	Levels []TeamLevel `json:"levels"`
+}
+
 // Record is one entry of a shard in its own schema version.
 type Record struct {
 	// Attributes corresponds to the JSON schema field "attributes".
@@ -1097,6 +1144,26 @@
 	Items []SubRequest `json:"items"`
 }
 
+// TeamLevel is the number of requests that a team may send at once; negative if it
+// has sent too many.
+type TeamLevel struct {
+	// Team corresponds to the JSON schema field "team".
+	Team string `json:"team"`
+
+	// Tokens corresponds to the JSON schema field "tokens".
+	Tokens float64 `json:"tokens"`
+}
+
+// TeamUsage is the number of requests of a team that were admitted since the
+// sender's process started.
+type TeamUsage struct {
+	// Admitted corresponds to the JSON schema field "admitted".
+	Admitted uint64 `json:"admitted"`
+
+	// Team corresponds to the JSON schema field "team".
+	Team string `json:"team"`
+}
+
 // TierMember is a VM that the sender heard from, directly or through other VMs.
 type TierMember struct {
 	// Age corresponds to the JSON schema field "age".
@@ -1308,6 +1375,26 @@
 	Verified int `json:"verified"`
 }
 
+// UsageReport states the requests of teams that the sender has admitted.
+type UsageReport struct {
+	// Forward tells that the sender reports to the receiver alone, which reports the
+	// numbers further.
+	Forward bool `json:"forward"`
+
+	// Full tells whether usage holds all teams, not only those with new requests.
+	Full bool `json:"full"`
+
+	// Incarnation corresponds to the JSON schema field "incarnation".
+	Incarnation uint64 `json:"incarnation"`
+
+	// Reset tells that the numbers were reported to another VM before and must not be
+	// charged.
+	Reset bool `json:"reset"`
+
+	// Usage corresponds to the JSON schema field "usage".
+	Usage []TeamUsage `json:"usage"`
+}
+
 // VM is one entry of the platform's list.
 type VM struct {
 	// Address corresponds to the JSON schema field "address".
