Use an aggregator again that left and has started again

A VM that was told that an aggregator stops kept it as leaving until it got a heartbeat from it directly. It is connected to aggregators only, so that after a rolling restart of the tier many VMs never took the strong VMs of their zone for aggregators again, selected themselves or another weak VM, read the store themselves, and used the share of limits of an aggregator. A report by another VM, later than the last heartbeat of the stopping process, now ends that state.

--- a/aggregator/memberlist.go
+++ b/aggregator/memberlist.go
@@ -71,7 +71,8 @@
 	})
 }
 
-// RecordIndirectHeartbeat records that another VM received a heartbeat of the aggregator vm at the given time.
+// RecordIndirectHeartbeat records that another VM received a heartbeat of the aggregator vm at the given time. Other VMs report
+// only aggregators that are not leaving, so that a VM which has left counts as started again.
 func (l *MemberList) RecordIndirectHeartbeat(vm VM, at time.Time) {
 	l.state.With(func(s *memberList) {
 		if vm.Address == s.self.Address {
@@ -82,6 +83,9 @@
 			s.changed = s.changed || m.Zone == ""
 			m.VM = vm
 		}
+		if m.leaving && at.Sub(m.heartbeat) >= leavingSilence {
+			m.leaving, s.changed = false, true
+		}
 		if at.After(m.indirectHeartbeat) {
 			m.indirectHeartbeat = at
 		}
--- a/aggregator/options.go
+++ b/aggregator/options.go
@@ -25,6 +25,10 @@
 	// heartbeatTimeout is the time without a heartbeat after which a VM is no longer eligible as an aggregator.
 	heartbeatTimeout = 4 * time.Second
 
+	// leavingSilence is the time after the last heartbeat of a leaving VM from which on a report of it shows that it has
+	// started again. While it stops, it sends heartbeats each second.
+	leavingSilence = 2 * time.Second
+
 	// memberRetention is the time for which a VM without heartbeats still counts as sharing the limits. A
 	// partitioned VM continues to send requests, and the platform measures budgets over 10 s.
 	memberRetention = 25 * time.Second
