Tell VMs that take themselves for aggregators who the aggregators are

A VM that has selected itself while the aggregators of its zone restarted gets the list of aggregators from nobody: it goes to followers and to other aggregators. An aggregator now answers a heartbeat that claims to come from one with its own list. The script in member.txt failed before.

--- a/member/links.go
+++ b/member/links.go
@@ -139,3 +139,16 @@
 	}
 	return list
 }
+
+// correctAggregators sends the list of aggregators to a VM that takes itself for one without being one. While the aggregators
+// of its zone restart, a VM may select itself, and has no connection to them then when they return: nobody else tells it.
+func (m *Member) correctAggregators(now time.Time, from netip.AddrPort, h *wire.Heartbeat) {
+	aggregators := m.members.Aggregators(now)
+	claims := slices.ContainsFunc(h.Aggregators, func(a wire.TierMember) bool { return a.VM == from })
+	if !claims || aggregator.Contains(aggregators, from) || !aggregator.Contains(aggregators, m.self.Address) {
+		return
+	}
+	list := m.newHeartbeat(now)
+	list.Aggregators = m.toTierMembers(now, aggregators)
+	m.peers.Send(from, &wire.Envelope{Kind: codec.KindHeartbeat, Heartbeat: list})
+}
--- a/member/member.go
+++ b/member/member.go
@@ -248,6 +248,7 @@
 		m.handleReportedZones(now, h.UnreachableZones)
 	}
 	m.requestState(now, from, ok && from != primary, h.Cursors)
+	m.correctAggregators(now, from, h)
 }
 
 // handleCrashReport records a crash that another VM has reported. In a large tier the reporter may be connected to
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -144,7 +144,7 @@
 
 // TestScripts guards against a wrong number of VMs that share the limits of upstreams, in particular while some send
 // no heartbeats, against the state of a VM that itself follows others being taken for current, against a VM that does not request newer state from others while it cannot read the platform, and
-// against reports of draining upstreams that do not reach the other VMs, those that were not connected included, or
+// against VMs that take themselves for aggregators for good after those of their zone have restarted, against reports of draining upstreams that do not reach the other VMs, those that were not connected included, or
 // circulate without end.
 func TestScripts(t *testing.T) {
 	datadriven.RunTest(t, "testdata/member.txt", func(t *testing.T, d *datadriven.TestData) string {
@@ -211,6 +211,10 @@
 		h.Cursors = make([]uint64, 1)
 		fmt.Sscan(f[3], &h.Cursors[0])
 		s.member.handle(now, from, &wire.Envelope{Kind: codec.KindHeartbeat, Heartbeat: h})
+	case "claims": // a VM that takes itself for an aggregator
+		h := &wire.Heartbeat{VM: from, Zone: "angers-est", Incarnation: 5, Cores: 0.2, Heard: []wire.HeardPeer{}}
+		h.Aggregators = []wire.TierMember{{VM: from, Zone: h.Zone, Cores: h.Cores}}
+		s.member.handle(now, from, &wire.Envelope{Kind: codec.KindHeartbeat, Heartbeat: h})
 	case "show":
 		s.shown = append(s.shown, fmt.Sprintf("at %d ms linked %v following %t", ms, s.member.connectedVMs(), s.following))
 	case "confirmed":
