--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -235,7 +235,7 @@
 // TestReports guards against requests that are charged twice or not at all when a VM reports late, again, after a restart of
 // its process, or to another VM.
 func TestReports(t *testing.T) {
-	datadriven.RunTest(t, "testdata/reports.txt", func(t *testing.T, d *datadriven.TestData) string {
+	datadriven.RunTest(t, "testdata/reports.txt", func(_ *testing.T, d *datadriven.TestData) string {
 		tab := quota.New(quota.Settings{})
 		q := team.Quota{Rate: 1, Burst: 100}
 		out := ""
