Add a pool whose workers take more urgent tasks first

Tasks wait for a worker of a VM in the order of submission, so that an urgent result waits behind those of less urgent requests when the processor is short. Pools started by New keep their order and read no clock.

A heap was ruled out: it boxes each task, and tasks of one priority are in order already.

--- a/pool/pool.go
+++ b/pool/pool.go
@@ -15,6 +15,7 @@
 	mu       sync.Mutex
 	notEmpty *sync.Cond
 	tasks    []T
+	ordered  *orderedTasks[T] // used instead of tasks; nil unless NewOrdered has started the pool
 	stopped  bool
 	onPanic  PanicHandler
 	workers  sync.WaitGroup
@@ -24,12 +25,21 @@
 
 // New starts n workers. They take tasks in the order of submission and call run for each.
 func New[T any](n int, run func(task T)) *Pool[T] {
+	p := newPool[T]()
+	p.start(n, run)
+	return p
+}
+
+func newPool[T any]() *Pool[T] {
 	p := &Pool[T]{}
 	p.notEmpty = sync.NewCond(&p.mu)
+	return p
+}
+
+func (p *Pool[T]) start(n int, run func(task T)) {
 	for range n {
 		p.workers.Go(func() { p.workerLoop(run) })
 	}
-	return p
 }
 
 // OnPanic sets the handler of panics of later tasks. Without one, a panic ends the process.
@@ -41,20 +51,21 @@
 
 // Submit queues a task without blocking. It returns false if the pool has been stopped.
 func (p *Pool[T]) Submit(task T) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.stopped {
-		return false
-	}
-	p.tasks = append(p.tasks, task)
-	p.notEmpty.Signal()
-	return true
+	return p.SubmitPriority(0, task)
 }
 
 // Len returns the number of queued tasks.
 func (p *Pool[T]) Len() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	return p.queued()
+}
+
+// queued returns the number of queued tasks.
+func (p *Pool[T]) queued() int {
+	if p.ordered != nil {
+		return p.ordered.n
+	}
 	return len(p.tasks)
 }
 
@@ -80,13 +91,16 @@
 func (p *Pool[T]) next() (T, PanicHandler, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for len(p.tasks) == 0 && !p.stopped {
+	for p.queued() == 0 && !p.stopped {
 		p.notEmpty.Wait()
 	}
 	var zero T
-	if len(p.tasks) == 0 {
+	if p.queued() == 0 {
 		return zero, nil, false
 	}
+	if p.ordered != nil {
+		return p.ordered.pop(), p.onPanic, true
+	}
 	task := p.tasks[0]
 	p.tasks[0] = zero
 	p.tasks = p.tasks[1:]
