Remember the shed answers and the limit of each upstream

A shed answer counts against an upstream for a time that the caller derives from the target latency, longer if answers are shed again, until it answers. Meanwhile it is chosen only if no other upstream may be. The number of attempts in flight when a request was shed, with all slots in use, limits what this VM sends; answers raise it, and lower it while requests wait at the upstream. An upstream that never sheds has no limit.

--- a/replica/replica.go
+++ b/replica/replica.go
@@ -38,6 +38,9 @@
 	Elapsed       time.Duration // time since the start of the attempt
 	MedianLatency time.Duration // median latency of this kind of request, which Elapsed is compared to
 	Load          *Load         // nil if the upstream did not report any
+	// ShedWindow is the time for which a shed answer counts against the upstream; 0 if it does not. It depends on the
+	// latency that callers need.
+	ShedWindow time.Duration
 	// Fingerprint identifies the request, so that it can be reported if the upstream turns out to have crashed.
 	Fingerprint uint64
 }
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -26,7 +26,8 @@
 }
 
 // TestScripts guards against requests to an upstream that must not or cannot serve them: one that is draining, removed,
-// replaced by another instance, stalled, in an evacuated zone, or that has said that it drains or wants no requests.
+// replaced by another instance, stalled, in an evacuated zone, or that has said that it drains or wants no requests. An
+// upstream that shed a request must not be tried while another may be, and one that never did must not count as full.
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		h := &harness{handles: map[string]replica.AttemptHandle{}, rand: rand.New(rand.NewPCG(1, 1))}
@@ -78,6 +79,16 @@
 		return fmt.Sprintln("candidates", list)
 	case "choose":
 		return fmt.Sprintln("chosen", h.table.Choose(now, h.rand, args))
+	case "room":
+		room, at := h.table.WithRoom(now, args)
+		out := fmt.Sprintln("room at", room)
+		if !at.IsZero() {
+			out += fmt.Sprintln("room after", at.Sub(now))
+		}
+		return out
+	case "shedding":
+		n, _ := h.table.Shedding(now, args)
+		return fmt.Sprintln("shedding", n, h.table.ShedLately(now))
 	case "start":
 		return h.start(now, args)
 	case "starts":
@@ -194,9 +205,15 @@
 	"accepted": replica.ProbeAccepted, "refused": replica.ProbeRefused, "undecided": replica.ProbeUndecided,
 }
 
-// end ends an attempt. The arguments are its name, outcome, elapsed time in ms and fingerprint.
+// end ends an attempt. The arguments are its name, outcome, elapsed time in ms and fingerprint. An outcome may have the
+// load that the replica reports with it, as in shed=3,2,3; a shed answer then counts for 8 ms.
 func (h *harness) end(now time.Time, args []string) string {
-	r := replica.Result{Outcome: outcomes[args[1]], MedianLatency: 20 * time.Millisecond}
+	outcome, load, hasLoad := strings.Cut(args[1], "=")
+	r := replica.Result{Outcome: outcomes[outcome], MedianLatency: 20 * time.Millisecond}
+	if hasLoad {
+		r.ShedWindow, r.Load = 8*time.Millisecond, &replica.Load{}
+		fmt.Sscanf(load, "%d,%d,%d", &r.Load.Running, &r.Load.Queued, &r.Load.Slots)
+	}
 	if len(args) > 2 {
 		var ms int
 		fmt.Sscan(args[2], &ms)
--- a/replica/stat.go
+++ b/replica/stat.go
@@ -31,6 +31,7 @@
 	crashSuspects      []crashSuspect // requests whose connection was lost, if the upstream has not answered since
 	probeAt            time.Time      // time of the probe that is due; zero if none is
 	ejectedUntil       time.Time
+	overload           overload
 }
 
 type pendingAttempt struct {
@@ -110,6 +111,7 @@
 
 func (r *replica) endAttempt(now time.Time, number uint64, res Result, n *CrashSuspicions) []uint64 {
 	startedAt := r.endPending(number)
+	r.overload.record(now, res, len(r.pending))
 	if res.Load != nil {
 		r.load, r.loadReportedAt = *res.Load, now
 	}
--- a/replica/state.go
+++ b/replica/state.go
@@ -18,6 +18,7 @@
 	lastAttempt uint64
 	notices     notices
 	suspicions  CrashSuspicions
+	shedUntil   time.Time // end of the time for which the last shed answer of any replica counts
 	// reportedZones are the zones that the VM that fans out this VM's queries reports as unreachable.
 	reportedZones []string
 }
@@ -136,6 +137,9 @@
 	if st.unreachable(now, r.server.Zone) {
 		cost += unreachableZoneCost
 	}
+	if r.shedding(now) {
+		cost += sheddingCost
+	}
 	return cost
 }
 
@@ -176,6 +180,9 @@
 		return nil
 	}
 	crashed := h.replica.endAttempt(now, h.number, res, &st.suspicions)
+	if until := h.replica.overload.shedUntil; until.After(st.shedUntil) {
+		st.shedUntil = until
+	}
 	switch res.Outcome {
 	case Succeeded, Failed, Shed, WrongInstance:
 		st.zone(h.Server.Zone).recordAnswer()
