Spend retries and hedges under overload on shards that decide the answer

A shard whose replicas all shed a request a moment ago is retried when one of them may have room, unless the minimum coverage needs it; then at once. Hedges do not go to upstreams that shed a moment ago, and other shards of an overloaded service leave a token to those that decide. A chooser that does not implement Overload is served as before.

Hold and Place let an attempt wait for a slot: it is not hedged meanwhile, its time begins at its release, and one that still waits at the deadline has not run.

--- a/gather/answer.go
+++ b/gather/answer.go
@@ -17,7 +17,7 @@
 		s.finish(now, st)
 		return
 	}
-	st.WakeAt = earlier(end, s.nextHedgeTime(now, end))
+	st.WakeAt = s.nextDeferred(earlier(end, s.nextHedgeTime(now, end)))
 }
 
 // endTime returns the time at which the query ends with the results received by then.
@@ -42,6 +42,7 @@
 	s.done = true
 	st.Done = true
 	st.Restart = s.shouldRestart(now)
+	s.failDeferred()
 	for i := range s.shards {
 		sh := &s.shards[i]
 		for _, a := range sh.attempts {
@@ -50,7 +51,7 @@
 			}
 		}
 		code := result.Late
-		if len(sh.attempts) == 0 {
+		if sh.unsent() {
 			code = result.DeadlineExpired
 		}
 		s.failShard(i, code)
--- a/gather/attempts.go
+++ b/gather/attempts.go
@@ -93,7 +93,7 @@
 		if !ok || len(sh.attempts) >= s.plan.MaxAttempts || len(s.plan.Shards[i].Replicas) < 2 {
 			continue
 		}
-		if s.chooser.HasQueue(late.Server) || !s.budget.AllowHedge(s.service(i)) {
+		if s.chooser.HasQueue(late.Server) || s.skipHedge(now, i) || !s.allowHedge(now, i) {
 			continue
 		}
 		if s.canaryShard == i {
@@ -146,6 +146,9 @@
 		if a.Hedge {
 			return attempt{}, false
 		}
+		if a.pending && a.waiting {
+			return attempt{}, false
+		}
 		if a.pending {
 			only = a
 			pending++
--- a/gather/gather.go
+++ b/gather/gather.go
@@ -72,6 +72,7 @@
 	Code     result.Code
 	Snapshot uint64 // version of the snapshot that Value is from
 	Value    T      // the shard's data if Code is Complete
+	Final    bool   // the shard is not retried
 }
 
 // Step is what the caller of a Query method has to do.
--- a/gather/outcome.go
+++ b/gather/outcome.go
@@ -34,6 +34,9 @@
 	default:
 		s.retryOrFail(now, res, &st)
 	}
+	if len(s.deferred) > 0 && s.needed() {
+		s.retryDeferred(now, &st)
+	}
 	s.finishIfReady(now, &st)
 	return st
 }
@@ -57,6 +60,9 @@
 
 func (s *state[T]) retryOrFail(now time.Time, res AttemptResult[T], st *Step) {
 	sh := &s.shards[res.Shard]
+	if s.deferRetry(now, res) {
+		return
+	}
 	if s.shouldRetry(now, res) {
 		s.send(now, res.Shard, false, st)
 		return
@@ -90,7 +96,7 @@
 // shouldRetry reports whether to retry a failed attempt. A quarantined fingerprint is refused everywhere, and a
 // canary request that may have crashed an upstream is not retried without the permission of the quarantine coordinator.
 func (s *state[T]) shouldRetry(now time.Time, res AttemptResult[T]) bool {
-	if res.Code == result.Quarantined || len(s.shards[res.Shard].attempts) >= s.plan.MaxAttempts {
+	if res.Final || res.Code == result.Quarantined || len(s.shards[res.Shard].attempts) >= s.plan.MaxAttempts {
 		return false
 	}
 	if (s.canaryShard == res.Shard || s.plan.NotIdempotent) && res.Code.Effect() != result.NotRun {
@@ -108,7 +114,7 @@
 			return true
 		}
 	}
-	return s.budget.AllowRetry(s.service(res.Shard))
+	return s.allowRetry(now, res.Shard)
 }
 
 // failShard ends a shard without a result. The effect of its code is NotRun only if no attempt may have run.
--- a/gather/query.go
+++ b/gather/query.go
@@ -28,6 +28,8 @@
 	minimumReachedAt time.Time
 	done             bool
 	heldFailures     []AttemptResult[T] // failed attempts for ReleaseRetries to retry
+	overload         Overload           // nil if the chooser does not know it
+	deferred         []deferredRetry[T] // retries that wait until an upstream may have room again
 }
 
 type shard[T any] struct {
@@ -51,6 +53,7 @@
 	Attempt
 	sentAt  time.Time
 	pending bool
+	waiting bool // not sent yet, see Hold
 }
 
 // New returns a query that has not started.
@@ -60,6 +63,7 @@
 	}
 	s := state[T]{plan: plan, chooser: chooser, budget: budget, rand: r, shards: make([]shard[T], len(plan.Shards)), canaryShard: -1}
 	s.unresolved = len(plan.Shards)
+	s.overload, _ = chooser.(Overload)
 	return &Query[T]{state: table.NewGuarded(table.RankGather, s)}
 }
 
@@ -109,6 +113,7 @@
 			return Step{}
 		}
 		var st Step
+		s.retryDeferred(now, &st)
 		s.sendHedges(now, &st)
 		s.finishIfReady(now, &st)
 		return st
@@ -123,6 +128,7 @@
 		}
 		var st Step
 		s.plan.RetriesHeld = false
+		s.sortByProspect(now, s.heldFailures)
 		for _, res := range s.heldFailures {
 			s.retryOrFail(now, res, &st)
 		}
--- a/gather/script_test.go
+++ b/gather/script_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -27,6 +29,7 @@
 type harness struct {
 	query       *gather.Query[shardResult]
 	hasQueue    map[string]bool
+	shedUntil   map[string]time.Time
 	hedgesLeft  int
 	retriesLeft int
 }
@@ -38,7 +41,25 @@
 func (h *harness) MedianLatency(string) time.Duration { return 5 * time.Millisecond }
 
 func (h *harness) HasQueue(server string) bool { return h.hasQueue[server] }
-func (h *harness) Credit(string, int)          {}
+
+func (h *harness) ShedLately(now time.Time) bool {
+	n, _ := h.Shedding(now, slices.Collect(maps.Keys(h.shedUntil)))
+	return n > 0
+}
+
+func (h *harness) Shedding(now time.Time, replicas []string) (n int, until time.Time) {
+	for _, name := range replicas {
+		if at := h.shedUntil[name]; now.Before(at) {
+			n++
+			if until.IsZero() || at.Before(until) {
+				until = at
+			}
+		}
+	}
+	return n, until
+}
+
+func (h *harness) Credit(string, int) {}
 
 func (h *harness) AllowHedge(string) bool {
 	h.hedgesLeft--
@@ -51,10 +72,12 @@
 }
 
 // TestScripts runs each file in testdata as one query. It guards against an answer that mixes snapshots or reports the
-// wrong coverage, attempts after the end of the query, and attempts beyond the budget.
+// wrong coverage, attempts after the end of the query, and attempts beyond the budget. Retries and hedges must not be
+// spent on upstreams that have just shed a request while the query can be answered without them, and an attempt that
+// waits must neither be hedged nor be reported as one that may have run.
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
-		h := &harness{hasQueue: map[string]bool{}}
+		h := &harness{hasQueue: map[string]bool{}, shedUntil: map[string]time.Time{}}
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			return h.run(t, d)
 		})
@@ -79,6 +102,21 @@
 	case "queued":
 		h.hasQueue[d.CmdArgs[0].Key] = true
 		return ""
+	case "shed": // the given upstreams shed a request, which counts for 10 ms
+		for _, a := range d.CmdArgs {
+			h.shedUntil[a.Key] = now.Add(10 * time.Millisecond)
+		}
+		return ""
+	case "hold": // the first attempt at a shard
+		var shard int
+		d.ScanArgs(t, "shard", &shard)
+		h.query.Hold(shard, 1)
+		return ""
+	case "place": // the held attempt is released, and the given upstreams have room
+		var shard int
+		d.ScanArgs(t, "shard", &shard)
+		server, st, ok := h.query.Place(now, shard, 1, strings.Fields(d.Input))
+		return fmt.Sprintf("placed %t at %q\n%s", ok, server, describe(st))
 	case "answer":
 		return describeAnswer(h.query.Answer())
 	default:
@@ -118,6 +156,7 @@
 	d.ScanArgs(t, "shard", &res.Shard)
 	d.MaybeScanArgs(t, "attempt", &res.Number)
 	d.MaybeScanArgs(t, "snapshot", &res.Snapshot)
+	res.Final = d.HasArg("final")
 	if d.HasArg("code") {
 		d.ScanArgs(t, "code", &code)
 		res.Code = codeOf(code)
