Have requests wait in the VM while all upstreams of their service are full

A request to a service all of whose usable upstreams shed a request a moment ago, or hold as many as they accept, was sent into a 503 and used up its attempts. It now waits in a short queue, ordered by priority and by the time left to its target, and is sent when an upstream has room. It is refused as not run, with the estimated wait as Retry-After, when it can no longer meet its deadline or the queue is full of more urgent requests. A request of which an attempt may have run does not wait, so that a refusal is true. Without a shed answer nothing is ever full, and a request takes no other path than before.

--- a/event/event.go
+++ b/event/event.go
@@ -20,6 +20,8 @@
 	PartCancelled                    // a part of a query was cancelled, because the query was answered without its missing shards
 	QueryRelayed                     // another VM answered a query on behalf of this one
 	RelayFailed                      // another VM did not accept a query that was relayed to it
+	RequestWaiting                   // a request began to wait, because all upstreams of its service are full
+	WaitRefused                      // a request was refused because it would wait, or had waited, too long
 	RequestAnswered                  // a request was answered in full
 
 	ProcessStarted
@@ -51,7 +53,7 @@
 )
 
 var kindNames = [kindCount]string{
-	"none", "refused", "failed", "partial", "attempt", "hedged", "abandoned", "part-cancelled", "relayed", "relay-failed", "answered",
+	"none", "refused", "failed", "partial", "attempt", "hedged", "abandoned", "part-cancelled", "relayed", "relay-failed", "waiting", "wait-refused", "answered",
 	"started", "stopping", "stopped", "reloaded", "ready", "config-accepted", "config-rejected",
 	"zone-evacuated", "isolated", "server-changed", "entry-rejected", "upstream-draining", "upstream-resting", "upstream-limited", "crash-suspected", "store-lost", "store-regained", "following", "peer-lost", "peer-found",
 	"paused", "panic", "dropped", "problem",
@@ -95,6 +97,7 @@
 	CoveredShards Key = "covered"  // number of shards in an answer
 	Shards        Key = "shards"   // number of shards of the route
 	InFlight      Key = "running"  // requests in flight at the VM
+	Priority      Key = "priority" // priority of a request, 0 for the most urgent
 	Status        Key = "status"   // HTTP status
 	Reason        Key = "reason"   // reason for the decision, as text
 	Limit         Key = "limit"    // requests a second that an upstream takes from all VMs, 0 for no limit
--- a/forward/budgets.go
+++ b/forward/budgets.go
@@ -17,7 +17,10 @@
 	byService map[string]*budget.TokenBucket
 }
 
-var _ gather.Budget = (*retryBudgets)(nil)
+var (
+	_ gather.Budget          = (*retryBudgets)(nil)
+	_ gather.ReservingBudget = (*retryBudgets)(nil)
+)
 
 func newRetryBudgets(ratio float64) *retryBudgets {
 	return &retryBudgets{state: table.NewGuarded(table.RankBudget, retryBudgetState{ratio: ratio, byService: map[string]*budget.TokenBucket{}})}
@@ -60,6 +63,16 @@
 	return b.forService(service).Take()
 }
 
+// AllowOptionalHedge spends a token, unless only the tokens reserved for other shards and for retries are left.
+func (b *retryBudgets) AllowOptionalHedge(service string) bool {
+	return b.forService(service).TakeAbove(hedgeTokenReserve + optionalTokenReserve)
+}
+
+// AllowOptionalRetry spends a token, unless only the tokens reserved for other shards are left.
+func (b *retryBudgets) AllowOptionalRetry(service string) bool {
+	return b.forService(service).TakeAbove(optionalTokenReserve)
+}
+
 // levels returns the remaining tokens of each service.
 func (b *retryBudgets) levels() map[string]float64 {
 	return table.WithResult(b.state, func(s *retryBudgetState) map[string]float64 {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -35,8 +35,10 @@
 	Transit       time.Duration
 	Relayed       bool   // received from another VM, not from the client
 	ConfigVersion uint64 // configuration version that must serve a relayed request
-	Shards        []int  // positions of the shards in the route, if the request is a part of a query; nil for a whole one
-	PriorAttempts int    // attempts per shard that other VMs may have made already
+	// Priority is that of the request's team, 0 for the most urgent. It takes precedence over that of the route if not nil.
+	Priority      *int
+	Shards        []int // positions of the shards in the route, if the request is a part of a query; nil for a whole one
+	PriorAttempts int   // attempts per shard that other VMs may have made already
 	// OnProgress, if not nil, receives the present answer to a part of a query when the query could be answered without
 	// the shards that are missing, and from then on now and then. It must not block.
 	OnProgress func(a Answer)
--- a/forward/notice.go
+++ b/forward/notice.go
@@ -79,5 +79,8 @@
 
 // refusalDelay returns the Retry-After of a refusal with the given code.
 func (q *query) refusalDelay(code result.Code) time.Duration {
-	return max(retryAfter(code), q.restDelay(time.Now()))
+	q.mu.Lock()
+	wait := q.retryAfter
+	q.mu.Unlock()
+	return max(retryAfter(code), q.restDelay(time.Now()), wait)
 }
--- a/forward/options.go
+++ b/forward/options.go
@@ -42,6 +42,10 @@
 	// hedgeTokenReserve is the number of tokens that hedges leave to retries.
 	hedgeTokenReserve = 1.0
 
+	// optionalTokenReserve is the number of tokens of an overloaded service that shards beyond the minimum coverage leave to
+	// those that decide whether a query is answered.
+	optionalTokenReserve = 1.0
+
 	// defaultMaxConnections limits the connections to one upstream if its service sets no limit.
 	defaultMaxConnections = 64
 
--- a/forward/query.go
+++ b/forward/query.go
@@ -29,6 +29,7 @@
 	fingerprint uint64 // of the request's content
 	state       *gather.Query[*Response]
 	shards      []catalog.Shard
+	upstreams   []string // that may serve an unsharded request
 
 	doneOnce sync.Once
 	done     chan struct{}
@@ -37,6 +38,8 @@
 	inFlight      map[attemptKey]*sentAttempt
 	errorResponse *Response // latest error response of an upstream
 	extraAttempts int
+	begun         bool                // an attempt may have run
+	retryAfter    time.Duration       // estimate of the wait, if an attempt was refused while it waited
 	late          map[string][]string // servers and zones of the attempts that were in flight at the end, by service
 }
 
@@ -49,7 +52,8 @@
 	pending PendingAttempt // nil until Send has returned
 	handle  replica.AttemptHandle
 	sentAt  time.Time
-	dropped bool // abandoned or cancelled, possibly before Send has returned
+	dropped bool         // abandoned or cancelled, possibly before Send has returned
+	held    *heldAttempt // not nil while the attempt waits; does not change any more once dropped is set
 }
 
 func newQuery(vm *VM, req *Request, cfg *route.Config, r *route.Route, fingerprint uint64) *query {
@@ -84,6 +88,7 @@
 		}
 		p.Shards = append(p.Shards, sp)
 		q.shards = append(q.shards, sp.Shard)
+		q.upstreams = sp.Replicas
 	}
 	if reachable == 0 || (q.req.Shards == nil && reachable < requiredShards(p.MinimumCoverage, len(p.Shards))) {
 		if delay := q.restDelay(now); delay > 0 {
@@ -91,7 +96,7 @@
 		}
 		return refusal{code: result.Unreachable, reason: q.vm.unreachableReason(now, reachable, len(p.Shards))}
 	}
-	q.state = gather.New[*Response](p, q, q.retryBudgets(), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	q.state = gather.New[*Response](p, q, q.retryBudgets(), rand.New(rand.NewPCG(q.vm.seed(), q.vm.seed())))
 	return refusal{}
 }
 
@@ -204,6 +209,17 @@
 	return false
 }
 
+// ShedLately reports whether any upstream shed a request of this VM a moment ago.
+func (q *query) ShedLately(now time.Time) bool {
+	return q.vm.replicas.ShedLately(now)
+}
+
+// Shedding returns the number of the replicas that shed a request of this VM a moment ago, and the earliest time at which
+// one of these may be tried again.
+func (q *query) Shedding(now time.Time, replicas []string) (int, time.Time) {
+	return q.vm.replicas.Shedding(now, replicas)
+}
+
 // run sends the request and waits for the answer or the cancellation of ctx.
 func (q *query) run(ctx context.Context) Answer {
 	q.apply(q.state.Start(time.Now()))
@@ -293,6 +309,10 @@
 		q.failUnsent(a, result.Quarantined)
 		return
 	}
+	s := &sentAttempt{sentAt: now}
+	if q.hold(now, a, s) {
+		return
+	}
 	service := q.cfg.Services[q.shards[a.Shard].Service]
 	handle, ok := q.vm.replicas.StartAttempt(now, a.Server, service, q.limitShare())
 	if !ok {
@@ -300,16 +320,21 @@
 		return
 	}
 	q.recordAttempt(a, now)
-	key := attemptKey{a.Shard, a.Number}
-	s := &sentAttempt{handle: handle, sentAt: now}
+	s.handle = handle
 	q.mu.Lock()
-	q.inFlight[key] = s
+	q.inFlight[attemptKey{a.Shard, a.Number}] = s
 	q.mu.Unlock()
+	q.transmit(a, s)
+}
+
+// transmit passes a started attempt to the sender.
+func (q *query) transmit(a gather.Attempt, s *sentAttempt) {
+	service := q.cfg.Services[q.shards[a.Shard].Service]
 	p := q.vm.sender.Send(Attempt{
-		Request: q.req, Server: handle.Server, MaxConnections: q.maxConnections(service), Deadline: q.deadline,
+		Request: q.req, Server: s.handle.Server, MaxConnections: q.maxConnections(service), Deadline: q.deadline,
 		NotIdempotent: !q.route.Idempotent,
 	}, func(res AttemptResult) {
-		q.vm.workers.Submit(func() { q.contain(func() { q.handleResult(a, s, res) }) })
+		q.submit(func() { q.handleResult(a, s, res) })
 	})
 	q.mu.Lock()
 	s.pending = p
@@ -322,7 +347,7 @@
 
 // failUnsent ends an attempt that is not sent.
 func (q *query) failUnsent(a gather.Attempt, code result.Code) {
-	q.vm.workers.Submit(func() { q.contain(func() { q.advance(a, AttemptResult{Code: code}, 0) }) })
+	q.submit(func() { q.advance(a, AttemptResult{Code: code}, 0) })
 }
 
 // recordAttempt counts an attempt and logs it if it is a hedge.
@@ -391,6 +416,9 @@
 // dropAttempt abandons an attempt, or cancels it if the client has disconnected. The time it has taken so far
 // is a lower bound of its latency.
 func (vm *VM) dropAttempt(s *sentAttempt, p PendingAttempt, group string, cancel bool) {
+	if vm.withdraw(s) {
+		return // it was not sent
+	}
 	now := time.Now()
 	vm.replicas.EndAttempt(now, s.handle, replica.Result{
 		Outcome: replica.Abandoned, Elapsed: now.Sub(s.sentAt), MedianLatency: vm.latency.Median(group),
@@ -403,6 +431,7 @@
 	default:
 		p.Abandon(abandonGrace)
 	}
+	vm.releaseWaiting(now, s.handle.Server.Service)
 }
 
 // maxConnections returns the number of connections that this VM may open to one upstream of the service.
--- a/forward/result.go
+++ b/forward/result.go
@@ -20,6 +20,7 @@
 	if current {
 		delete(q.inFlight, key)
 	}
+	q.begun = q.begun || (current && res.Code.Effect() == result.MayHaveRun)
 	if current && res.Response != nil && res.Code != result.Complete {
 		q.errorResponse = res.Response
 	}
@@ -75,7 +76,9 @@
 	vm, group := q.vm, q.route.Name
 	crashed := vm.replicas.EndAttempt(now, handle, replica.Result{
 		Outcome: res.Outcome, Elapsed: elapsed, MedianLatency: vm.latency.Median(group), Load: res.Load, Fingerprint: q.fingerprint,
+		ShedWindow: vm.shedWindow(q.route),
 	})
+	vm.releaseWaiting(now, handle.Server.Service)
 	vm.reportCrashes(crashed, handle.Server)
 	if res.Outcome == replica.ConnectionLost {
 		vm.probeAfterLoss(now, handle, q.maxConnections(q.cfg.Services[handle.Server.Service]))
--- a/forward/stats.go
+++ b/forward/stats.go
@@ -61,6 +61,7 @@
 	Hedges            uint64
 	Retries           uint64
 	AttemptFailures   map[result.Code]uint64 // failed attempts by code
+	Waiting           WaitStats
 }
 
 func newStats() *Stats {
@@ -76,6 +77,7 @@
 		out.Requests = cloneMap(c.Requests)
 		out.Latency = cloneMap(c.Latency)
 		out.AttemptFailures = cloneMap(c.AttemptFailures)
+		out.Waiting = c.Waiting.clone()
 		return out
 	})
 }
--- a/forward/vm.go
+++ b/forward/vm.go
@@ -40,6 +40,8 @@
 	endOnce sync.Once
 	workers *pool.Pool[func()]
 	timers  *pool.Timers[func()]
+	waits   *waitQueues   // nil if requests never wait for an upstream
+	seed    func() uint64 // seeds the choices of a query
 	state   *table.Guarded[vmState]
 }
 
@@ -70,7 +72,8 @@
 		ending:       make(chan struct{}),
 		state:        table.NewGuarded(table.RankPending, vmState{shares: aggregator.LimitShares{Members: 1}}),
 	}
-	vm.workers = pool.New(s.Workers, func(task func()) { task() })
+	vm.waits, vm.seed = newWaitQueues(), rand.Uint64
+	vm.workers = pool.NewOrdered(s.Workers, processingReserve, func(task func()) { task() })
 	vm.workers.OnPanic(event.PanicHandler(events))
 	vm.timers = pool.NewTimers[func()](vm.workers)
 	vm.SetLimitShares(aggregator.LimitShares{Members: 1})
--- a/table/table.go
+++ b/table/table.go
@@ -15,6 +15,7 @@
 	RankQuarantine Rank = 30 // requests that crash upstreams
 	RankPermit     Rank = 40 // issued permits
 	RankUpstream   Rank = 50 // owned upstreams with their queues
+	RankWaiting    Rank = 52 // requests that wait for a slot of a service
 	RankGather     Rank = 55 // state of a query
 	RankBudget     Rank = 60 // admission, hedge and retry budgets
 	RankBalancer   Rank = 70 // load and latency estimates
