Take parts of more urgent queries first on aggregators

Queries of other VMs wait for a worker by priority, with aging. The message carries the priority of the client's team if it has one; otherwise the aggregator takes that of its route. A message always with a priority was ruled out: VMs of earlier versions reject fields that they do not know.

--- a/relay/message.go
+++ b/relay/message.go
@@ -17,7 +17,7 @@
 		ID: id, RequestID: req.ID, Method: req.Method, Target: req.Target, Host: req.Host, Header: []wire.HeaderLine{},
 		Body: append([]byte{}, req.Body...), Waited: now.Sub(req.ReceivedAt), Transit: req.Transit + hopTime,
 		Left: max(limits.Deadline.Sub(now)-hopTime, time.Millisecond), Version: limits.ConfigVersion, Tried: req.PriorAttempts,
-		Shards: toBitmap(req.Shards),
+		Shards: toBitmap(req.Shards), Priority: req.Priority,
 	}
 	for name, values := range req.Header {
 		for _, v := range values {
@@ -32,7 +32,7 @@
 	req := &forward.Request{
 		ID: m.RequestID, Method: m.Method, Target: m.Target, Host: m.Host, Body: m.Body, Header: map[string][]string{},
 		ReceivedAt: now.Add(-m.Waited), Deadline: now.Add(m.Left), Transit: m.Transit, Relayed: true, ConfigVersion: m.Version, PriorAttempts: m.Tried,
-		Shards: fromBitmap(m.Shards),
+		Shards: fromBitmap(m.Shards), Priority: m.Priority,
 	}
 	req.Path, _, _ = strings.Cut(m.Target, "?")
 	for _, h := range m.Header {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -67,7 +67,7 @@
 	r.secondRuns.SetBurst(secondRunBurst)
 	// IDs start at a random number: an aggregator may still answer queries of an earlier process with the same address.
 	r.nextID.Store(rand.Uint64())
-	r.workers = pool.New(workerCount, func(task func()) { task() })
+	r.workers = pool.NewOrdered(workerCount, hopTime, func(task func()) { task() })
 	r.workers.OnPanic(event.PanicHandler(events))
 	return r
 }
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -45,11 +45,26 @@
 	r.incoming[key] = q
 	r.mu.Unlock()
 	r.peers.Send(from, &wire.Envelope{Kind: codec.KindQueryAccept, QueryAccept: &wire.QueryAccept{ID: m.ID}})
-	if !r.workers.Submit(func() { r.serveQuery(ctx, key, req) }) {
+	if !r.workers.SubmitPriority(r.priority(req), func() { r.serveQuery(ctx, key, req) }) {
 		r.cancelIncoming(key)
 	}
 }
 
+// prioritizer is a handler that knows the priorities of requests.
+type prioritizer interface {
+	// Priority returns the priority of a request, 0 for the most urgent.
+	Priority(req *forward.Request) int
+}
+
+// priority returns the priority with which a query of another VM waits for a worker. Without one of its own, it is that of
+// the route here, because VMs of earlier versions reject messages with a priority.
+func (r *Relay) priority(req *forward.Request) int {
+	if p, ok := r.server.(prioritizer); ok {
+		return p.Priority(req)
+	}
+	return 0
+}
+
 // serveQuery runs one query of another VM and sends its answer.
 func (r *Relay) serveQuery(ctx context.Context, key incomingKey, req *forward.Request) {
 	defer r.cancelIncoming(key)
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -714,6 +714,10 @@
 	// Method corresponds to the JSON schema field "method".
 	Method string `json:"method"`
 
+	// Priority is that of the client's team, 0 for the most urgent; that of the route
+	// if absent.
+	Priority *int `json:"priority,omitempty,omitzero"`
+
 	// RequestID corresponds to the JSON schema field "request-id".
 	RequestID string `json:"request-id"`
 
