--- a/forward/stats.go
+++ b/forward/stats.go
@@ -71,6 +71,7 @@
 	Retries           uint64
 	AttemptFailures   map[result.Code]uint64 // failed attempts by code
 	Teams             map[TeamCode]uint64    // requests of teams, by urgency and whether they were admitted
+	Waiting           WaitStats
 }
 
 func newStats() *Stats {
@@ -87,6 +88,7 @@
 		out.Latency = cloneMap(c.Latency)
 		out.AttemptFailures = cloneMap(c.AttemptFailures)
 		out.Teams = cloneMap(c.Teams)
+		out.Waiting = c.Waiting.clone()
 		return out
 	})
 }
--- a/forward/team.go
+++ b/forward/team.go
@@ -59,7 +59,7 @@
 }
 
 // Authorize decides whether a client's request may be read and served: the configuration has a route for it, and the
-// request has the API key of a team that has not used up its quota. It sets the request's team and priority, or returns the
+// request has the API key of a team that has not used up its quota. It sets the request's team and the team's priority, or returns the
 // answer and false. It needs neither the body nor a slot, so that a refused request costs little.
 func (vm *VM) Authorize(req *Request) (Answer, bool) {
 	cfg, denied := vm.config(req)
@@ -70,16 +70,15 @@
 	if !ok {
 		return vm.refuse(req, nil, cfg.Version, unknownRoute), false
 	}
-	req.Priority = r.Priority
 	if cfg.Teams == nil {
 		return Answer{}, true
 	}
 	if denied := vm.authorizeTeam(req, cfg, r); denied.code != 0 {
 		a := vm.refuse(req, r, cfg.Version, denied)
-		vm.stats.recordTeam(denied.code, req.Priority)
+		vm.stats.recordTeam(denied.code, priorityOf(req, r))
 		return a, false
 	}
-	vm.stats.recordTeam(result.Complete, req.Priority)
+	vm.stats.recordTeam(result.Complete, priorityOf(req, r))
 	return Answer{}, true
 }
 
@@ -101,7 +100,7 @@
 	if t == nil {
 		return rejectedKey(req.Key)
 	}
-	req.Team, req.Priority = t.Name, t.PriorityOr(r.Priority)
+	req.Team, req.Priority = t.Name, t.Priority
 	ok, retry := vm.teams.quotas.Admit(time.Now(), t.Name, t.Quota)
 	if !ok {
 		reason := fmt.Sprintf("quota of %g requests a second and a burst of %g is used up", t.Quota.Rate, t.Quota.Burst)
