Place attempts by expected cost

The cost of a replica counted its requests, whatever their work, and compared its times with the median of the route. A load header with a fourth value was dropped entirely, so that the slowdown that upstreams report had no effect.

Each attempt carries the expected work of its class. Observed speed and work leave out the wait for a slot and the reported slowdown. A claim that attempts contradict loses its weight, for the slowdown and for the load apart. Replicas that cost almost the least are drawn at random, from a wider range with more VMs. Failures, cold starts, remote zones, stalls, ejection, rests and limits are as before, with the attempt's own expected work in place of the median.

In replica_test.go the calls carry the work of a script's attempts, 20 ms, the median that Result held before.

--- a/balancer/latency.go
+++ b/balancer/latency.go
@@ -64,6 +64,14 @@
 	})
 }
 
+// Learned reports whether the group has enough samples for estimates of its own.
+func (l *LatencyEstimator) Learned(group string) bool {
+	return table.WithResult(l.groups, func(m *map[string]*groupLatency) bool {
+		g, ok := (*m)[group]
+		return ok && g.histogram.samples >= minSamples
+	})
+}
+
 // group returns the state of the named group and creates it if needed. Once maxGroups are tracked, a
 // new group evicts the one with the oldest sample.
 func (l *LatencyEstimator) group(m map[string]*groupLatency, name string) *groupLatency {
--- a/forward/query.go
+++ b/forward/query.go
@@ -27,6 +27,7 @@
 	route       *route.Route
 	deadline    time.Time
 	fingerprint uint64 // of the request's content
+	class       requestClass
 	state       *gather.Query[*Response]
 	shards      []catalog.Shard
 
@@ -53,7 +54,10 @@
 }
 
 func newQuery(vm *VM, req *Request, cfg *route.Config, r *route.Route, fingerprint uint64) *query {
-	return &query{vm: vm, fingerprint: fingerprint, req: req, cfg: cfg, route: r, done: make(chan struct{}), inFlight: map[attemptKey]*sentAttempt{}}
+	return &query{
+		vm: vm, fingerprint: fingerprint, req: req, cfg: cfg, route: r, class: vm.classify(r.Name, req.Method, len(req.Body)),
+		done: make(chan struct{}), inFlight: map[attemptKey]*sentAttempt{},
+	}
 }
 
 // plan selects the shards and their replicas. It returns a refusal if the request cannot be served.
@@ -180,14 +184,14 @@
 	}
 }
 
-// Choose returns the replica that is expected to respond first.
+// Choose returns a replica that is expected to respond first, or almost.
 func (q *query) Choose(now time.Time, r *rand.Rand, candidates []string) string {
-	return q.vm.replicas.Choose(now, r, candidates)
+	return q.vm.replicas.Choose(now, r, candidates, q.class.work)
 }
 
 // HedgeDelay returns how long to wait for an attempt before sending a hedge.
 func (q *query) HedgeDelay(group string) time.Duration {
-	d := q.vm.latency.HedgeDelay(group)
+	d := q.vm.latency.HedgeDelay(q.vm.latencyGroup(group, q.class))
 	if q.route.TargetLatency > 0 {
 		d = min(d, time.Duration(maxHedgeDelayRatio*float64(q.route.TargetLatency)))
 	}
@@ -196,7 +200,7 @@
 
 // MedianLatency returns the median latency of an attempt.
 func (q *query) MedianLatency(group string) time.Duration {
-	return q.vm.latency.Median(group)
+	return q.vm.latency.Median(q.vm.latencyGroup(group, q.class))
 }
 
 // HasQueue returns false, because Choose accounts for queues in the cost of a replica.
@@ -294,7 +298,7 @@
 		return
 	}
 	service := q.cfg.Services[q.shards[a.Shard].Service]
-	handle, ok := q.vm.replicas.StartAttempt(now, a.Server, service, q.limitShare())
+	handle, ok := q.vm.replicas.StartAttempt(now, a.Server, service, q.limitShare(), q.class.work)
 	if !ok {
 		q.failUnsent(a, result.UpstreamLeaving)
 		return
@@ -355,14 +359,14 @@
 	}
 	q.mu.Unlock()
 	if s != nil {
-		q.vm.dropAttempt(s, p, q.route.Name, false)
+		q.vm.dropAttempt(s, p, q.class, false)
 	}
 }
 
 // abandonAll drops the attempts still in flight once the answer is ready.
 func (q *query) abandonAll() {
 	for s, p := range q.removeAll() {
-		q.vm.dropAttempt(s, p, q.route.Name, false)
+		q.vm.dropAttempt(s, p, q.class, false)
 	}
 }
 
@@ -370,7 +374,7 @@
 func (q *query) cancelAll() {
 	q.state.Stop()
 	for s, p := range q.removeAll() {
-		q.vm.dropAttempt(s, p, q.route.Name, true)
+		q.vm.dropAttempt(s, p, q.class, true)
 	}
 }
 
@@ -390,12 +394,11 @@
 
 // dropAttempt abandons an attempt, or cancels it if the client has disconnected. The time it has taken so far
 // is a lower bound of its latency.
-func (vm *VM) dropAttempt(s *sentAttempt, p PendingAttempt, group string, cancel bool) {
+func (vm *VM) dropAttempt(s *sentAttempt, p PendingAttempt, c requestClass, cancel bool) {
 	now := time.Now()
-	vm.replicas.EndAttempt(now, s.handle, replica.Result{
-		Outcome: replica.Abandoned, Elapsed: now.Sub(s.sentAt), MedianLatency: vm.latency.Median(group),
-	})
-	vm.latency.ObserveAtLeast(now, group, now.Sub(s.sentAt))
+	elapsed := now.Sub(s.sentAt)
+	end := vm.replicas.EndAttempt(now, s.handle, replica.Result{Outcome: replica.Abandoned, Elapsed: elapsed})
+	vm.observeAtLeast(now, c, elapsed, end.Work)
 	switch {
 	case p == nil:
 	case cancel:
--- a/forward/result.go
+++ b/forward/result.go
@@ -72,16 +72,16 @@
 // observe updates the statistics of the replica and the crash record of the request from the result of an
 // attempt.
 func (q *query) observe(now time.Time, handle replica.AttemptHandle, res AttemptResult, elapsed time.Duration) {
-	vm, group := q.vm, q.route.Name
-	crashed := vm.replicas.EndAttempt(now, handle, replica.Result{
-		Outcome: res.Outcome, Elapsed: elapsed, MedianLatency: vm.latency.Median(group), Load: res.Load, Fingerprint: q.fingerprint,
+	vm := q.vm
+	end := vm.replicas.EndAttempt(now, handle, replica.Result{
+		Outcome: res.Outcome, Elapsed: elapsed, Load: res.Load, Fingerprint: q.fingerprint,
 	})
-	vm.reportCrashes(crashed, handle.Server)
+	vm.reportCrashes(end.Crashed, handle.Server)
 	if res.Outcome == replica.ConnectionLost {
 		vm.probeAfterLoss(now, handle, q.maxConnections(q.cfg.Services[handle.Server.Service]))
 	}
 	if res.Outcome == replica.Succeeded {
 		vm.crashTracker.RecordSuccess(now, q.fingerprint)
-		vm.latency.Observe(now, group, elapsed)
+		vm.observeLatency(now, q.class, elapsed, end.Work)
 	}
 }
--- a/forward/vm.go
+++ b/forward/vm.go
@@ -16,6 +16,7 @@
 	"pistachioshore.dev/result"
 	"pistachioshore.dev/route"
 	"pistachioshore.dev/table"
+	"pistachioshore.dev/workload"
 )
 
 // VM is the request handler of one VM of the tier. It is safe for concurrent use.
@@ -25,6 +26,7 @@
 	replicas *replica.Table
 	splitter *route.Splitter
 	latency  *balancer.LatencyEstimator
+	work     *workload.Estimator
 	budgets  *retryBudgets // for requests to one upstream
 
 	shardBudgets *retryBudgets // for queries over shards, which are distributed differently over the VMs
@@ -60,6 +62,7 @@
 		settings: s, routes: routes, replicas: replicas, sender: sender, events: events,
 		splitter: route.NewSplitter(),
 		latency:  balancer.NewLatencyEstimator(latencySettings()),
+		work:     workload.New(),
 		budgets:  newRetryBudgets(s.RetryRatio * retryBudgetUtilization),
 
 		shardBudgets: newRetryBudgets(s.RetryRatio * retryBudgetUtilization),
--- a/replica/options.go
+++ b/replica/options.go
@@ -16,8 +16,39 @@
 	stallFactor = 3.0
 	minStallAge = 25 * time.Millisecond
 
-	// defaultMedianLatency is the assumed median latency before the first result.
-	defaultMedianLatency = 20 * time.Millisecond
+	// defaultWork is the assumed work of a request whose work is not known.
+	defaultWork = 20 * time.Millisecond
+
+	// Reported slowdowns are used within these bounds. Neighbours slow an upstream down by 2.5; a faulty report must neither
+	// attract all requests nor keep them away.
+	minSlowdown = 0.5
+	maxSlowdown = 10.0
+
+	// claimRatio is the ratio of the expected durations with and without a report from which an attempt tells whether the
+	// report is right.
+	claimRatio = 1.5
+
+	// maxClaimAge is the longest time between the reports before and after an attempt that contradict it together.
+	maxClaimAge = 2 * time.Second
+
+	// agreementWeight is the weight of one attempt in the share of reports that were not contradicted.
+	agreementWeight = 0.15
+
+	// Reports are ignored at an agreement of minAgreement or less and count fully from minAgreement+1/credibilityGain on.
+	// With exponentially distributed work, half of the right reports of a slowdown of 2.5 seem contradicted, and four
+	// fifths of the wrong ones.
+	minAgreement    = 0.25
+	credibilityGain = 3.0
+
+	// Reports are checked with the observed speed within these bounds and 1, on the side on which it does not explain them.
+	// It adapts to a constant false report, and to right ones that are ignored.
+	minClaimSpeed = 0.7
+	maxClaimSpeed = 1.4
+
+	// Candidates that cost less than a multiple of the lowest cost are drawn at random: nearEqualRatio for a single VM, and
+	// up to nearEqualRatio+nearEqualSpread with more VMs that may choose the same upstream at the same moment.
+	nearEqualRatio  = 1.1
+	nearEqualSpread = 0.3
 
 	// maxSlowness is the upper bound of an observed slowness.
 	maxSlowness = 30.0
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -16,6 +16,8 @@
 	Running int // requests that it runs
 	Queued  int // requests that wait for a slot
 	Slots   int // requests that it can run concurrently
+	// Slowdown is how long work takes on its host at the moment, 1 for as usual; 0 if the upstream does not say.
+	Slowdown float64
 }
 
 // Outcome is the way in which an attempt at a replica ended.
@@ -34,14 +36,22 @@
 
 // Result is the result of one attempt.
 type Result struct {
-	Outcome       Outcome
-	Elapsed       time.Duration // time since the start of the attempt
-	MedianLatency time.Duration // median latency of this kind of request, which Elapsed is compared to
-	Load          *Load         // nil if the upstream did not report any
+	Outcome Outcome
+	Elapsed time.Duration // time since the start of the attempt
+	Load    *Load         // nil if the upstream did not report any
 	// Fingerprint identifies the request, so that it can be reported if the upstream turns out to have crashed.
 	Fingerprint uint64
 }
 
+// AttemptEnd is what the end of an attempt shows.
+type AttemptEnd struct {
+	// Crashed holds the fingerprints of the requests that may have caused a crash, if the upstream has crashed.
+	Crashed []uint64
+	// Work is the work of the request by the time that it took, without waiting and slowdown: a lower bound if the attempt
+	// was given up, 0 if it is not known.
+	Work time.Duration
+}
+
 // Settings describe the zones of the tier and the limits for cold upstreams.
 type Settings struct {
 	Zone            string            // zone of this VM
@@ -124,22 +134,24 @@
 	})
 }
 
-// Choose returns the candidate that is expected to respond first. The candidates must not be empty.
-func (t *Table) Choose(now time.Time, r *rand.Rand, candidates []string) string {
-	return table.WithResult(t.state, func(st *state) string { return st.choose(now, r, candidates) })
+// Choose returns the candidate that is expected to finish a request with the given expected work first, or one that is
+// expected to finish it almost as early. The candidates must not be empty. A work of 0 is not known.
+func (t *Table) Choose(now time.Time, r *rand.Rand, candidates []string, work time.Duration) string {
+	var id string
+	t.state.With(func(st *state) { id = st.choose(now, r, candidates, work) })
+	return id
 }
 
-// StartAttempt registers an attempt at the replica. It returns false if the replica no longer accepts requests,
+// StartAttempt registers an attempt with the given expected work at the replica. It returns false if the replica no longer accepts requests,
 // or if it is cold or has named a request limit and this VM has used up its share of the allowed rate.
-func (t *Table) StartAttempt(now time.Time, id string, service route.Service, share LimitShare) (AttemptHandle, bool) {
-	return table.WithResults(t.state, func(st *state) (AttemptHandle, bool) { return st.startAttempt(now, id, service, share) })
+func (t *Table) StartAttempt(now time.Time, id string, service route.Service, share LimitShare, work time.Duration) (AttemptHandle, bool) {
+	return table.WithResults(t.state, func(st *state) (AttemptHandle, bool) { return st.startAttempt(now, id, service, share, work) })
 }
 
-// EndAttempt records the result of an attempt. If it shows that the upstream has crashed, EndAttempt returns the
-// fingerprints of the requests that may have caused the crash. A lost connection alone is not taken for a crash,
-// but a refused connection soon after it is.
-func (t *Table) EndAttempt(now time.Time, h AttemptHandle, r Result) []uint64 {
-	return table.WithResult(t.state, func(st *state) []uint64 { return st.endAttempt(now, h, r) })
+// EndAttempt records the result of an attempt and returns what it shows. A lost connection alone is not taken for a
+// crash, but a refused connection soon after it is.
+func (t *Table) EndAttempt(now time.Time, h AttemptHandle, r Result) AttemptEnd {
+	return table.WithResult(t.state, func(st *state) AttemptEnd { return st.endAttempt(now, h, r) })
 }
 
 // Stalled reports whether the replica seems to hang, because its oldest attempt is long overdue.
@@ -153,6 +165,9 @@
 // Counts are the numbers of all known replicas and of those in each condition. A replica may be in several conditions.
 type Counts struct {
 	Known, Draining, Resting, Limited, Evacuated, Cold, Ejected int
+
+	Distrusted int // upstreams whose reports attempts have contradicted
+	Slowed     int // upstreams that report that work takes longer than usual
 }
 
 // Counts returns the numbers of replicas by condition.
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -17,6 +17,9 @@
 
 var start = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
 
+// scriptWork is the expected work of each attempt of a script.
+const scriptWork = 20 * time.Millisecond
+
 // harness is a table with the attempts that a script has started.
 type harness struct {
 	table   *replica.Table
@@ -26,7 +29,8 @@
 }
 
 // TestScripts guards against requests to an upstream that must not or cannot serve them: one that is draining, removed,
-// replaced by another instance, stalled, in an evacuated zone, or that has said that it drains or wants no requests.
+// replaced by another instance, stalled, in an evacuated zone, or that has said that it drains or wants no requests. It
+// also guards against reports that keep their weight although attempts contradict them.
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		h := &harness{handles: map[string]replica.AttemptHandle{}, rand: rand.New(rand.NewPCG(1, 1))}
@@ -77,7 +81,7 @@
 		slices.Sort(list)
 		return fmt.Sprintln("candidates", list)
 	case "choose":
-		return fmt.Sprintln("chosen", h.table.Choose(now, h.rand, args))
+		return fmt.Sprintln("chosen", h.table.Choose(now, h.rand, args, scriptWork))
 	case "start":
 		return h.start(now, args)
 	case "starts":
@@ -99,7 +103,7 @@
 		var seconds, started int
 		fmt.Sscan(args[1], &seconds)
 		for n := range seconds * 1000 {
-			if _, ok := h.table.StartAttempt(now.Add(time.Duration(n)*time.Millisecond), args[0], route.Service{}, h.share); ok {
+			if _, ok := h.table.StartAttempt(now.Add(time.Duration(n)*time.Millisecond), args[0], route.Service{}, h.share, scriptWork); ok {
 				started++
 			}
 		}
@@ -126,6 +130,17 @@
 		}
 	case "suspicions":
 		return fmt.Sprintf("%+v\n", h.table.CrashSuspicions())
+	case "weights": // of the slowdown and of the load that a server reports
+		e := h.table.Expect(now, args[:1], scriptWork)[0]
+		return fmt.Sprintf("weights %.1f %.1f, distrusted %d\n", e.Credible, e.LoadCredible, h.table.Counts(now).Distrusted)
+	case "serve": // args[1] requests of args[2] ms, one after the other, with a report
+		var n int
+		fmt.Sscan(args[1], &n)
+		for i := range n {
+			at := now.Add(time.Duration(i) * 50 * time.Millisecond)
+			h.start(at, []string{"served", args[0]})
+			h.end(at, []string{"served", "answered", args[2], "0", args[3]})
+		}
 	case "stalled":
 		return fmt.Sprintln("stalled", h.table.Stalled(now, args[0]))
 	default:
@@ -163,7 +178,7 @@
 
 // start starts the attempt named args[0] at the replica args[1].
 func (h *harness) start(now time.Time, args []string) string {
-	handle, ok := h.table.StartAttempt(now, args[1], route.Service{}, h.share)
+	handle, ok := h.table.StartAttempt(now, args[1], route.Service{}, h.share, scriptWork)
 	h.handles[args[0]] = handle
 	if !ok {
 		return "not started\n"
@@ -178,7 +193,7 @@
 	fmt.Sscan(args[1], &n)
 	fmt.Sscan(args[2], &rate)
 	for range n {
-		if _, ok := h.table.StartAttempt(now, args[0], route.Service{WarmupRate: rate}, h.share); ok {
+		if _, ok := h.table.StartAttempt(now, args[0], route.Service{WarmupRate: rate}, h.share, scriptWork); ok {
 			started++
 		}
 	}
@@ -194,9 +209,10 @@
 	"accepted": replica.ProbeAccepted, "refused": replica.ProbeRefused, "undecided": replica.ProbeUndecided,
 }
 
-// end ends an attempt. The arguments are its name, outcome, elapsed time in ms and fingerprint.
+// end ends an attempt. The arguments are its name, outcome, elapsed time in ms, fingerprint, and the running and waiting
+// requests and the slowdown that the server reports.
 func (h *harness) end(now time.Time, args []string) string {
-	r := replica.Result{Outcome: outcomes[args[1]], MedianLatency: 20 * time.Millisecond}
+	r := replica.Result{Outcome: outcomes[args[1]]}
 	if len(args) > 2 {
 		var ms int
 		fmt.Sscan(args[2], &ms)
@@ -205,7 +221,11 @@
 	if len(args) > 3 {
 		fmt.Sscan(args[3], &r.Fingerprint)
 	}
-	if crashed := h.table.EndAttempt(now, h.handles[args[0]], r); len(crashed) > 0 {
+	if len(args) > 4 {
+		r.Load = &replica.Load{}
+		fmt.Sscanf(args[4], "%d,%d,%g", &r.Load.Running, &r.Load.Queued, &r.Load.Slowdown)
+	}
+	if crashed := h.table.EndAttempt(now, h.handles[args[0]], r).Crashed; len(crashed) > 0 {
 		return fmt.Sprintln("crashed under", crashed)
 	}
 	return ""
--- a/replica/stat.go
+++ b/replica/stat.go
@@ -19,27 +19,35 @@
 	pending       []pendingAttempt
 	coldRequests  []time.Time
 
-	slowness           float64 // moving average of the latency in median latencies; 1 if unknown
-	failureRate        float64 // moving average of the share of attempts that failed or were shed
-	observedAt         time.Time
-	answeredAt         time.Time // time of the last valid answer
-	medianLatency      time.Duration
-	load               Load
-	loadReportedAt     time.Time
-	connectionFailures int // consecutive connection failures
-	ejections          int
-	crashSuspects      []crashSuspect // requests whose connection was lost, if the upstream has not answered since
-	probeAt            time.Time      // time of the probe that is due; zero if none is
-	ejectedUntil       time.Time
+	slowness            float64 // moving average of the latency over the expected one; 1 if unknown
+	failureRate         float64 // moving average of the share of attempts that failed or were shed
+	observedAt          time.Time
+	answeredAt          time.Time // time of the last valid answer
+	pendingWork         float64   // expected work of the pending attempts, in nanoseconds
+	meanWork            float64   // moving average of the expected work of an attempt, in nanoseconds; 0 if unknown
+	report              loadReport
+	slowdownCredibility credibility
+	loadCredibility     credibility
+	connectionFailures  int // consecutive connection failures
+	ejections           int
+	crashSuspects       []crashSuspect // requests whose connection was lost, if the upstream has not answered since
+	probeAt             time.Time      // time of the probe that is due; zero if none is
+	ejectedUntil        time.Time
 }
 
+// pendingAttempt is an attempt in flight with what was expected of it when it was started.
 type pendingAttempt struct {
 	number    uint64
 	startedAt time.Time
+	work      float64    // in nanoseconds
+	ownWait   float64    // wait for a slot because of this VM's attempts, at usual speed, in nanoseconds
+	wait      float64    // the same because of all requests
+	slowdown  float64    // reported slowdown as far as it counted
+	report    loadReport // latest report
 }
 
 func newReplica(now time.Time, s route.Server) *replica {
-	r := &replica{slowness: 1, medianLatency: defaultMedianLatency, observedAt: now}
+	r := &replica{slowness: 1, slowdownCredibility: newCredibility(), loadCredibility: newCredibility(), observedAt: now}
 	r.update(now, s)
 	return r
 }
@@ -57,17 +65,8 @@
 	return !r.removeAt.IsZero() && !now.Before(r.removeAt)
 }
 
-// oldestAge returns the age of the oldest pending attempt, or 0 if there is none.
-func (r *replica) oldestAge(now time.Time) time.Duration {
-	if len(r.pending) == 0 {
-		return 0
-	}
-	return now.Sub(r.pending[0].startedAt)
-}
-
 func (r *replica) stalled(now time.Time) bool {
-	limit := max(time.Duration(stallFactor*r.decayed(now, r.slowness, 1)*float64(r.medianLatency)), minStallAge)
-	return r.oldestAge(now) > limit
+	return r.stalledFor(now, r.decayed(now, r.slowness, 1)*r.slowdown(now)) > 0
 }
 
 // decayed returns value after its exponential decay towards rest since the last observation.
@@ -76,93 +75,104 @@
 	return rest + (value-rest)*remaining
 }
 
-// cost returns the expected latency of one more request, in median latencies.
-func (r *replica) cost(now time.Time) float64 {
-	slots := max(r.server.Slots, 1)
-	running := float64(len(r.pending))
-	if now.Sub(r.loadReportedAt) < maxLoadAge {
-		running = max(running, float64(r.load.Running+r.load.Queued))
-	}
-	cost := r.decayed(now, r.slowness, 1) * (1 + running/float64(slots))
-	if r.stalled(now) {
-		cost += float64(r.oldestAge(now)) / float64(r.medianLatency)
-	}
-	cost += r.decayed(now, r.failureRate, 0) * failureCost
-	if now.Before(r.ejectedUntil) || !r.removeAt.IsZero() {
-		cost += failureCost
-	}
-	if now.Before(r.coldUntil) {
-		cost *= 1.5
-	}
-	return cost
+// startPending adds an attempt with the given expected work in nanoseconds.
+func (r *replica) startPending(now time.Time, number uint64, work float64) {
+	r.pending = append(r.pending, pendingAttempt{
+		number: number, startedAt: now, work: work, report: r.report,
+		ownWait: r.ownWait(), wait: r.expectedWait(now, work), slowdown: r.slowdown(now),
+	})
+	r.pendingWork += work
+	r.meanWork = r.requestWork(work)*(1-observationWeight) + work*observationWeight
 }
 
-// endPending removes a pending attempt and returns the time at which it was started.
-func (r *replica) endPending(number uint64) time.Time {
+// endPending removes a pending attempt and returns it. It returns false if the attempt has ended before.
+func (r *replica) endPending(number uint64) (pendingAttempt, bool) {
 	i := slices.IndexFunc(r.pending, func(p pendingAttempt) bool { return p.number == number })
 	if i < 0 {
-		return time.Time{}
+		return pendingAttempt{}, false
 	}
-	startedAt := r.pending[i].startedAt
+	p := r.pending[i]
 	r.pending = slices.Delete(r.pending, i, i+1)
-	return startedAt
+	r.pendingWork -= p.work
+	if len(r.pending) == 0 {
+		r.pendingWork = 0 // drops what rounding has left
+	}
+	return p, true
 }
 
-func (r *replica) endAttempt(now time.Time, number uint64, res Result, n *CrashSuspicions) []uint64 {
-	startedAt := r.endPending(number)
+func (r *replica) endAttempt(now time.Time, number uint64, res Result, st *state) AttemptEnd {
+	p, ok := r.endPending(number)
 	if res.Load != nil {
-		r.load, r.loadReportedAt = *res.Load, now
+		r.report = loadReport{*res.Load, now}
 	}
-	if res.MedianLatency > 0 {
-		r.medianLatency = res.MedianLatency
+	if !ok {
+		return AttemptEnd{}
 	}
+	var end AttemptEnd
 	switch res.Outcome {
 	case Succeeded:
 		r.connectionFailures, r.ejections = 0, 0
 		r.answeredAt = now
-		r.dismissCrashSuspects(startedAt, n)
+		r.dismissCrashSuspects(p.startedAt, &st.suspicions)
 		r.ejectedUntil = time.Time{}
-		r.observe(now, res, 0)
+		if res.Load != nil {
+			r.compareReports(now, p, res.Elapsed, &st.reports)
+		}
+		end.Work = r.work(now, p, res.Elapsed)
+		r.observe(now, r.latencyRatio(now, p, res.Elapsed), 0)
 	case Abandoned:
-		r.observeAtLeast(now, res)
+		end.Work = r.work(now, p, res.Elapsed)
+		r.observeAtLeast(now, r.latencyRatio(now, p, res.Elapsed))
 	case Failed, Shed:
 		r.connectionFailures = 0
 		r.observeFailure(now)
 	case ConnectionLost:
 		r.observeFailure(now)
 		r.recordConnectionFailure(now)
-		r.suspectCrash(now, res.Fingerprint, n)
+		r.suspectCrash(now, res.Fingerprint, &st.suspicions)
 	case ConnectionRefused:
 		r.observeFailure(now)
 		r.recordConnectionFailure(now)
-		return r.takeCrashSuspects(now, n)
+		end.Crashed = r.takeCrashSuspects(now, &st.suspicions)
 	case WrongInstance:
 		r.wrongInstance = true
 	}
-	return nil
+	return end
+}
+
+// slowdownDuring returns the mean of the reported slowdowns at the start and at the end of an attempt, as far as they
+// count.
+func (r *replica) slowdownDuring(now time.Time, p pendingAttempt) float64 {
+	return (p.slowdown + r.slowdown(now)) / 2
+}
+
+// latencyRatio returns the time of an attempt over the time that was expected for an upstream of usual speed.
+func (r *replica) latencyRatio(now time.Time, p pendingAttempt, elapsed time.Duration) float64 {
+	return min(float64(elapsed)/((p.work+p.wait)*r.slowdownDuring(now, p)), maxSlowness)
+}
+
+// work returns the work of an attempt by the time that it took: without its share of waiting and slowdown.
+func (r *replica) work(now time.Time, p pendingAttempt, elapsed time.Duration) time.Duration {
+	return time.Duration(float64(elapsed) * p.work / (p.work + p.wait) / r.slowdownDuring(now, p))
 }
 
 // observationWeight is the weight of a new observation in the moving averages.
 const observationWeight = 0.3
 
-// observe adds an attempt to the moving averages; failed is its contribution to the failure rate, from 0 to 1.
-func (r *replica) observe(now time.Time, res Result, failed float64) {
-	slowness := 1.0
-	if res.MedianLatency > 0 {
-		slowness = min(float64(res.Elapsed)/float64(res.MedianLatency), maxSlowness)
-	}
-	r.slowness = r.decayed(now, r.slowness, 1)*(1-observationWeight) + slowness*observationWeight
+// observe adds an attempt to the moving averages; ratio is its time over the expected one, failed its contribution to the
+// failure rate, from 0 to 1.
+func (r *replica) observe(now time.Time, ratio, failed float64) {
+	r.slowness = r.decayed(now, r.slowness, 1)*(1-observationWeight) + ratio*observationWeight
 	r.failureRate = r.decayed(now, r.failureRate, 0)*(1-observationWeight) + failed*observationWeight
 	r.observedAt = now
 }
 
 // observeAtLeast records the time of an attempt that was given up. It is a lower bound of the latency, so it
 // counts only if it is above the current estimate.
-func (r *replica) observeAtLeast(now time.Time, res Result) {
-	if res.MedianLatency <= 0 || float64(res.Elapsed)/float64(res.MedianLatency) <= r.decayed(now, r.slowness, 1) {
-		return
+func (r *replica) observeAtLeast(now time.Time, ratio float64) {
+	if ratio > r.decayed(now, r.slowness, 1) {
+		r.observe(now, ratio, r.decayed(now, r.failureRate, 0))
 	}
-	r.observe(now, res, r.decayed(now, r.failureRate, 0))
 }
 
 func (r *replica) observeFailure(now time.Time) {
--- a/replica/state.go
+++ b/replica/state.go
@@ -1,7 +1,6 @@
 package replica
 
 import (
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -18,6 +17,7 @@
 	lastAttempt uint64
 	notices     notices
 	suspicions  CrashSuspicions
+	reports     ReportCounts
 	// reportedZones are the zones that the VM that fans out this VM's queries reports as unreachable.
 	reportedZones []string
 }
@@ -105,41 +105,10 @@
 	return healthy
 }
 
-func (st *state) choose(now time.Time, r *rand.Rand, candidates []string) string {
-	if id, ok := st.dueProbe(now, candidates); ok {
-		return id
-	}
-	best, lowestCost := "", 0.0
-	first := r.IntN(len(candidates))
-	for i := range candidates {
-		id := candidates[(first+i)%len(candidates)]
-		cost := st.cost(now, id)
-		if best == "" || cost < lowestCost {
-			best, lowestCost = id, cost
-		}
-	}
-	return best
-}
-
 // unusableCost is the cost of a replica that was removed or may not receive requests.
 const unusableCost = 1e9
 
-func (st *state) cost(now time.Time, id string) float64 {
-	r, ok := st.replicas[id]
-	if !ok || !st.eligible(now, r, nil) || r.limited(now) {
-		return unusableCost
-	}
-	cost := r.cost(now)
-	if r.server.Zone != st.settings.Zone {
-		cost += remoteZoneCost
-	}
-	if st.unreachable(now, r.server.Zone) {
-		cost += unreachableZoneCost
-	}
-	return cost
-}
-
-func (st *state) startAttempt(now time.Time, id string, service route.Service, share LimitShare) (AttemptHandle, bool) {
+func (st *state) startAttempt(now time.Time, id string, service route.Service, share LimitShare, work time.Duration) (AttemptHandle, bool) {
 	r, ok := st.replicas[id]
 	if !ok || !st.eligible(now, r, nil) || r.limited(now) || !st.admitCold(now, r, service) {
 		return AttemptHandle{}, false
@@ -151,7 +120,7 @@
 	}
 	st.zone(r.server.Zone).recordAttempt(now)
 	st.lastAttempt++
-	r.pending = append(r.pending, pendingAttempt{st.lastAttempt, now})
+	r.startPending(now, st.lastAttempt, workOf(work))
 	return AttemptHandle{Server: r.server, replica: r, number: st.lastAttempt}, true
 }
 
@@ -171,16 +140,16 @@
 	return true
 }
 
-func (st *state) endAttempt(now time.Time, h AttemptHandle, res Result) []uint64 {
+func (st *state) endAttempt(now time.Time, h AttemptHandle, res Result) AttemptEnd {
 	if h.replica == nil {
-		return nil
+		return AttemptEnd{}
 	}
-	crashed := h.replica.endAttempt(now, h.number, res, &st.suspicions)
+	end := h.replica.endAttempt(now, h.number, res, st)
 	switch res.Outcome {
 	case Succeeded, Failed, Shed, WrongInstance:
 		st.zone(h.Server.Zone).recordAnswer()
 	}
-	return crashed
+	return end
 }
 
 func (st *state) counts(now time.Time) Counts {
@@ -204,6 +173,12 @@
 		if now.Before(r.ejectedUntil) {
 			c.Ejected++
 		}
+		if r.slowdownCredibility.weight() < 1 || r.loadCredibility.weight() < 1 {
+			c.Distrusted++
+		}
+		if r.slowdown(now) >= claimRatio {
+			c.Slowed++
+		}
 	}
 	return c
 }
