Add pistachioshore explain-placement

A VM answers GET /placement at its metrics address with the expected finish of a request at each upstream of its route, and why an upstream gets none. Nothing is sent to the upstreams. The command prints that answer.

Ruled out: JSON with a schema, because only operators read it.

--- a/cmd/pistachioshore/main.go
+++ b/cmd/pistachioshore/main.go
@@ -23,6 +23,8 @@
 	Check  checkCommand  `cmd:"" help:"Validate a configuration file as an entry VM would."`
 
 	Explain explainCommand `cmd:"" help:"Explain a request from the log lines of the VMs."`
+
+	ExplainPlacement explainPlacementCommand `cmd:"" help:"Explain where a VM would send a request now, without sending it."`
 }
 
 // exit ends the process. It replaces kong's exit status for usage errors (80) with exitUsage.
--- a/replica/placement.go
+++ b/replica/placement.go
@@ -1,8 +1,10 @@
 package replica
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"pistachioshore.dev/table"
@@ -117,7 +119,9 @@
 type Expectation struct {
 	Server    string
 	Zone      string
-	Usable    bool
+	Usable    bool          // may receive the attempt now
+	Reason    string        // why it may not
+	Share     float64       // share of attempts that it would receive now, from 0 to 1
 	Cost      float64       // expected finish with all additions
 	Speed     float64       // observed duration of attempts over the expected one
 	Slowdown  float64       // reported slowdown as far as it counts; 1 for as usual
@@ -184,6 +188,11 @@
 	return float64(work)
 }
 
+// drawLimit returns the cost below which candidates are drawn at random, given the lowest cost.
+func (st *state) drawLimit(lowest float64) float64 {
+	return lowest * (nearEqualRatio + nearEqualSpread*(1-1/math.Sqrt(float64(st.memberCount))))
+}
+
 // choose returns the candidate with the lowest cost. Candidates that cost almost as little are drawn too, the more often
 // the less they cost, because other VMs that see the same upstreams choose at the same time.
 func (st *state) choose(now time.Time, r *rand.Rand, candidates []string, work time.Duration) string {
@@ -198,7 +207,7 @@
 		costs = append(costs, cost)
 		lowest = min(lowest, cost)
 	}
-	limit := lowest * (nearEqualRatio + nearEqualSpread*(1-1/math.Sqrt(float64(st.memberCount))))
+	limit := st.drawLimit(lowest)
 	total := 0.0
 	for _, cost := range costs {
 		total += max(limit-cost, 0)
@@ -217,13 +226,59 @@
 	return candidates[last]
 }
 
-// Expect returns what the table expects of one more attempt with the given work at each candidate.
-func (t *Table) Expect(now time.Time, candidates []string, work time.Duration) []Expectation {
+// Explain returns what the table expects of one more attempt with the given work at each replica of the service. It changes
+// nothing and starts no attempt. A probe of an unreachable zone, which takes precedence now and then, is left out.
+func (t *Table) Explain(now time.Time, service string, regions []string, idempotent bool, work time.Duration) []Expectation {
 	return table.WithResult(t.state, func(st *state) []Expectation {
-		list := make([]Expectation, 0, len(candidates))
-		for _, id := range candidates {
-			list = append(list, st.expect(now, id, workOf(work)))
+		candidates := st.candidates(now, service, regions, idempotent)
+		list := make([]Expectation, 0, len(st.services[service]))
+		lowest := math.Inf(1)
+		for _, r := range st.services[service] {
+			e := r.expect(now, workOf(work))
+			if e.Usable = slices.Contains(candidates, e.Server); e.Usable {
+				e = st.expect(now, e.Server, workOf(work))
+				lowest = min(lowest, e.Cost)
+			} else {
+				e.Reason = st.exclusion(now, r, regions)
+			}
+			list = append(list, e)
+		}
+		total := 0.0
+		for _, e := range list {
+			if e.Usable {
+				total += max(st.drawLimit(lowest)-e.Cost, 0)
+			}
+		}
+		for i, e := range list {
+			if e.Usable {
+				list[i].Share = max(st.drawLimit(lowest)-e.Cost, 0) / total
+			}
 		}
+		slices.SortFunc(list, func(a, b Expectation) int {
+			return cmp.Or(cmp.Compare(b.Share, a.Share), cmp.Compare(a.Server, b.Server))
+		})
 		return list
 	})
 }
+
+// exclusion returns why the replica is no candidate.
+func (st *state) exclusion(now time.Time, r *replica, regions []string) string {
+	switch {
+	case r.draining():
+		return "draining"
+	case r.resting(now):
+		return "resting"
+	case r.wrongInstance:
+		return "address taken over by another instance"
+	case st.evacuated[r.server.Zone]:
+		return "zone evacuated"
+	case !st.eligible(now, r, regions):
+		return "outside the regions of the route"
+	case r.limited(now):
+		return "request limit reached"
+	case st.unreachable(now, r.server.Zone):
+		return "zone unreachable"
+	default:
+		return "ejected"
+	}
+}
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -131,8 +131,15 @@
 	case "suspicions":
 		return fmt.Sprintf("%+v\n", h.table.CrashSuspicions())
 	case "weights": // of the slowdown and of the load that a server reports
-		e := h.table.Expect(now, args[:1], scriptWork)[0]
+		list := h.table.Explain(now, "s", nil, true, scriptWork)
+		e := list[slices.IndexFunc(list, func(e replica.Expectation) bool { return e.Server == args[0] })]
 		return fmt.Sprintf("weights %.1f %.1f, distrusted %d\n", e.Credible, e.LoadCredible, h.table.Counts(now).Distrusted)
+	case "explain":
+		var out strings.Builder
+		for _, e := range h.table.Explain(now, args[0], args[1:], true, scriptWork) {
+			fmt.Fprintf(&out, "%s share %.2f cost %.2f %s\n", e.Server, e.Share, e.Cost, e.Reason)
+		}
+		return out.String()
 	case "serve": // args[1] requests of args[2] ms, one after the other, with a report
 		var n int
 		fmt.Sscan(args[1], &n)
