Bound the work that costs are multiples of

An upstream that answers within microseconds, as on loopback, would make the terms for stalls and remaining work of others thousands of times the own work.

--- a/replica/options.go
+++ b/replica/options.go
@@ -19,6 +19,9 @@
 	// defaultWork is the assumed work of a request whose work is not known.
 	defaultWork = 20 * time.Millisecond
 
+	// minWork is the least work that costs are multiples of. Below it, the network decides about the time of an attempt.
+	minWork = 100 * time.Microsecond
+
 	// Reported slowdowns are used within these bounds. Neighbours slow an upstream down by 2.5; a faulty report must neither
 	// attract all requests nor keep them away.
 	minSlowdown = 0.5
--- a/replica/placement.go
+++ b/replica/placement.go
@@ -185,7 +185,7 @@
 	if work <= 0 {
 		return float64(defaultWork)
 	}
-	return float64(work)
+	return float64(max(work, minWork))
 }
 
 // drawLimit returns the cost below which candidates are drawn at random, given the lowest cost.
