Bound what slow upstreams add to the expected work of requests

The expected work of a class was a mean of samples of up to six times the estimate, and attempts that were given up counted as well. Samples are now bounded by twice the estimate, and attempts that were given up are left out.

--- a/forward/class.go
+++ b/forward/class.go
@@ -35,11 +35,11 @@
 	vm.work.Observe(now, c.Class, work)
 }
 
-// observeAtLeast records lower bounds of the time and the work of an attempt that was given up.
-func (vm *VM) observeAtLeast(now time.Time, c requestClass, elapsed, work time.Duration) {
+// observeAtLeast records a lower bound of the time of an attempt that was given up. Its work is not learned, because most
+// such attempts are those at slow upstreams.
+func (vm *VM) observeAtLeast(now time.Time, c requestClass, elapsed time.Duration) {
 	vm.latency.ObserveAtLeast(now, c.Route, elapsed)
 	vm.latency.ObserveAtLeast(now, c.name, elapsed)
-	vm.work.ObserveAtLeast(now, c.Class, work)
 }
 
 // ExpectedWork returns the expected work of the classes of requests that were observed most recently, at most n.
--- a/forward/query.go
+++ b/forward/query.go
@@ -440,8 +440,8 @@
 	}
 	now := time.Now()
 	elapsed := now.Sub(s.sentAt)
-	end := vm.replicas.EndAttempt(now, s.handle, replica.Result{Outcome: replica.Abandoned, Elapsed: elapsed})
-	vm.observeAtLeast(now, c, elapsed, end.Work)
+	vm.replicas.EndAttempt(now, s.handle, replica.Result{Outcome: replica.Abandoned, Elapsed: elapsed})
+	vm.observeAtLeast(now, c, elapsed)
 	switch {
 	case p == nil:
 	case cancel:
--- a/workload/options.go
+++ b/workload/options.go
@@ -21,9 +21,10 @@
 	minSamples  = 8
 	routeWeight = 4.0
 
-	// maxSampleRatio bounds an observation by a multiple of the estimate. One request in a hundred takes five times the
-	// mean; longer times are those of a stalled upstream and not of the request.
-	maxSampleRatio = 6.0
+	// maxSampleRatio bounds an observation by a multiple of the estimate. Higher times are mostly those of a slow upstream and
+	// not of the request: with a bound of 6, a seventh of the upstreams at nine times the usual doubled the estimates, so
+	// that slow upstreams stood out less.
+	maxSampleRatio = 2.0
 
 	// maxClasses limits the classes that are remembered, those of whole routes included. Each takes 150 bytes.
 	maxClasses = 512
