Send a request again on another connection than before

Both sendings of a request have the same request ID, so that a late copy of the response to the first one, which arrives where the response to the second one is expected, was taken for it. A copied refusal made an order count as not run although it ran.

Each connection now remembers the IDs of the last 64 calls that it has carried, and carries none of them again: a call uses another idle connection, or opens one, in place of an idle one where the limit is reached. This also covers a client that sends its request again under the same ID. Refusals under overload seldom cost a connection, because the second sending waits behind other calls and then mostly gets another connection.

Ruled out: a header with the number of the sending, which servers do not echo; a new connection for each second sending, which costs more and does not cover the client.

Test: transport/http1 copies.txt and TestSecondSending, which fail with hasCarried always false.

--- a/transport/http1/conn.go
+++ b/transport/http1/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"hash/maphash"
 	"io"
 	"net"
 	"net/http"
@@ -25,6 +26,7 @@
 	idleSince time.Time     // guarded by the pool's lock
 	idleLimit time.Duration // 0 if the upstream gave none; set by the reading goroutine before park
 
+	carried    []uint64      // hashes of the IDs of the last calls; changed by send, read by the pool while no call has the connection
 	skipped    int           // responses skipped since the last one that belonged to a call; used by the reading goroutine
 	signatures []string      // of the last responses that named no call; used by the reading goroutine
 	done       chan struct{} // closed with the connection
@@ -45,6 +47,25 @@
 	return c.idleLimit == 0 || now.Sub(c.idleSince) < c.idleLimit
 }
 
+// idSeed is the seed of the hashes of call IDs.
+var idSeed = maphash.MakeSeed()
+
+// hasCarried reports whether the connection has carried a call with the ID.
+func (c *conn) hasCarried(id string) bool {
+	return id != "" && slices.Contains(c.carried, maphash.String(idSeed, id))
+}
+
+// recordCarried records the ID of a call that the connection carries from now on.
+func (c *conn) recordCarried(id string) {
+	if id == "" {
+		return
+	}
+	if len(c.carried) == maxCarriedIDs {
+		c.carried = slices.Delete(c.carried, 0, 1)
+	}
+	c.carried = append(c.carried, maphash.String(idSeed, id))
+}
+
 // send writes the request of the exchange.
 func (c *conn) send(e *Exchange) {
 	c.mu.Lock()
@@ -55,6 +76,7 @@
 	}
 	c.exchange, c.requestWritten, c.responseRead = e, false, false
 	c.mu.Unlock()
+	c.recordCarried(e.call.ID)
 	if _, err := c.nc.Write(encodeRequest(e.call, time.Now())); err != nil {
 		c.fail(ConnectionLost)
 		return
--- a/transport/http1/http1.go
+++ b/transport/http1/http1.go
@@ -19,6 +19,10 @@
 
 // Call is one request.
 type Call struct {
+	// ID is the identity by which responses name the call; empty if they do not. A second sending of a request has the same
+	// ID, so that a late copy of the response to the first one could be taken for its response. The call is therefore not
+	// sent on a connection that has carried its ID before.
+	ID     string
 	Method string
 	Target string   // request target: path and query as on the request line
 	Host   string   // value of the Host header
@@ -164,6 +168,10 @@
 	// maxSignatures is the number of responses of a connection whose copies are recognized by their signatures.
 	maxSignatures = 8
 
+	// maxCarriedIDs is the number of calls of a connection whose IDs it does not carry again. A request is sent again, by
+	// this VM or by its client, before one connection has carried many others.
+	maxCarriedIDs = 64
+
 	// maxInlineBody is the largest request body in bytes that the goroutine calling Start writes itself; a longer
 	// one could block it while the upstream does not read.
 	maxInlineBody = 8 << 10
--- a/transport/http1/pool.go
+++ b/transport/http1/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -190,18 +191,27 @@
 		h = &host{}
 		p.hosts[address] = h
 	}
-	for len(h.idle) > 0 {
-		c := h.idle[len(h.idle)-1] // the one used last; if it has been idle too long, all have
+	for i := len(h.idle) - 1; i >= 0; i-- {
+		c := h.idle[i] // the one used last; if it has been idle too long, all have
 		if maxIdle := e.call.MaxIdleTime; maxIdle > 0 && now.Sub(c.idleSince) > maxIdle && h.open < maxConns {
 			break
 		}
-		h.idle = h.idle[:len(h.idle)-1]
-		if c.isUsable(now) {
+		usable := c.isUsable(now)
+		if usable && c.hasCarried(e.call.ID) {
+			continue
+		}
+		h.idle = slices.Delete(h.idle, i, i+1)
+		if usable {
 			p.counts.Reused++
 			return c, reuseIdle
 		}
 		stale = append(stale, c)
 	}
+	for len(h.idle) > 0 && h.open-len(stale) >= maxConns {
+		// All idle connections have carried the call's ID. A new one takes the place of the one used least recently.
+		stale = append(stale, h.idle[0])
+		h.idle = slices.Delete(h.idle, 0, 1)
+	}
 	h.maxOpen = maxConns
 	switch {
 	case p.closed:
@@ -244,16 +254,22 @@
 	}
 }
 
-// park passes a free connection to the next waiting exchange, or keeps it idle.
+// park passes a free connection to the next waiting exchange, or keeps it idle. If it has carried the ID of that exchange,
+// it is closed, and the exchange gets a new one in its place.
 func (p *Pool) park(c *conn) {
 	p.mu.Lock()
 	h := p.hosts[c.address]
 	keep := h != nil && !p.closed
 	var e *Exchange
 	if keep {
-		if e = h.nextWaiting(); e == nil {
+		e = h.nextWaiting()
+		switch {
+		case e == nil:
 			c.idleSince = time.Now()
 			h.idle = append(h.idle, c)
+		case c.hasCarried(e.call.ID):
+			h.waiting = slices.Insert(h.waiting, 0, e)
+			keep = false
 		}
 	}
 	p.mu.Unlock()
--- a/transport/http1/pool_test.go
+++ b/transport/http1/pool_test.go
@@ -284,7 +284,7 @@
 	var id string
 	var size int
 	fmt.Sscan(line, &id, &size)
-	c := &Call{Method: "GET", Target: "/" + id, Host: "h", Body: make([]byte, size), Header: []Header{{"Id", id}}}
+	c := &Call{ID: id, Method: "GET", Target: "/" + id, Host: "h", Body: make([]byte, size), Header: []Header{{"Id", id}}}
 	c.Identify = func(h http.Header) Identity {
 		switch h.Get("Id") {
 		case "":
@@ -415,6 +415,35 @@
 	_ = s.server.Close()
 }
 
+// TestSecondSending guards against a request that is sent again on the connection that has carried it before, where a late
+// copy of the first response would be taken for its own, and against one that gets no connection for that reason. The
+// second call waits for the only connection, the third one finds it idle, and the fourth may use it.
+func TestSecondSending(t *testing.T) {
+	s := newBlockingServer(t)
+	p := New(nil)
+	done := make(chan Failure, 2)
+	start := func(id string) {
+		p.Start(s.address, 1, &Call{ID: id, Method: "GET", Target: "/", Host: "h"}, func(_ Response, f Failure) { done <- f })
+	}
+	start("a")
+	start("a")
+	for i, id := range []string{"", "a", "b", ""} {
+		s.answer <- struct{}{}
+		if got := <-done; got != NoFailure {
+			t.Errorf("call %d: got %v, want a response", i+1, got)
+		}
+		if id != "" {
+			waitIdle(p)
+			start(id)
+		}
+	}
+	if got := p.Counts(); got.Dialed != 3 || got.Waited != 1 || got.Reused != 1 || got.Open != 1 {
+		t.Errorf("got %+v, want a connection for each sending of the first request, of which the last one is open and used again", got)
+	}
+	p.Close()
+	_ = s.server.Close()
+}
+
 // TestMaxIdleTime guards against a call that must not be lost and is sent on a connection that has been idle for
 // too long.
 func TestMaxIdleTime(t *testing.T) {
