Do not give a connection to a call while it is being closed

The state of a connection was checked under its lock and acted on after it: a connection could be closed between the end of its call and its return to the pool, and an abandoned call could close it after its response had been read. The next call then failed as unreachable, which counts as a sign of a crash, or lost its connection.

The pool now checks that a connection is open when it takes it back, and a conditional close decides and marks under one lock.

Test: TestParkClosed, which fails without the check in park (1 idle connection).

--- a/transport/http1/conn.go
+++ b/transport/http1/conn.go
@@ -246,23 +246,31 @@
 
 // closeIfPending closes the connection if the exchange still waits for a response on it.
 func (c *conn) closeIfPending(e *Exchange) {
+	c.closeIf(func() bool { return c.exchange == e && !c.responseRead })
+}
+
+// isClosed reports whether the connection is closed.
+func (c *conn) isClosed() bool {
 	c.mu.Lock()
-	pending := c.exchange == e && !c.responseRead
-	c.mu.Unlock()
-	if pending {
-		c.close()
-	}
+	defer c.mu.Unlock()
+	return c.closed
 }
 
 // close closes the connection and removes it from the pool; only the first call has an effect.
 func (c *conn) close() {
+	c.closeIf(func() bool { return true })
+}
+
+// closeIf closes the connection if it is open and the condition holds. It calls the condition with the lock held, so that
+// the connection cannot be parked and given to another call in between.
+func (c *conn) closeIf(holds func() bool) {
 	c.mu.Lock()
-	closed := c.closed
-	c.closed = true
-	c.mu.Unlock()
-	if closed {
+	if c.closed || !holds() {
+		c.mu.Unlock()
 		return
 	}
+	c.closed = true
+	c.mu.Unlock()
 	close(c.done)
 	_ = c.nc.Close() // nothing is buffered, so a failed close loses no data
 	c.pool.removeIdle(c)
--- a/transport/http1/pool.go
+++ b/transport/http1/pool.go
@@ -259,7 +259,7 @@
 func (p *Pool) park(c *conn) {
 	p.mu.Lock()
 	h := p.hosts[c.address]
-	keep := h != nil && !p.closed
+	keep := h != nil && !p.closed && !c.isClosed() // one that is closed from now on is removed by removeIdle
 	var e *Exchange
 	if keep {
 		e = h.nextWaiting()
--- a/transport/http1/pool_test.go
+++ b/transport/http1/pool_test.go
@@ -388,6 +388,29 @@
 	_ = s.server.Close()
 }
 
+// TestParkClosed guards against a connection that is closed as its call ends and is then given to the next call.
+func TestParkClosed(t *testing.T) {
+	s := newBlockingServer(t)
+	p := New(nil)
+	done := make(chan Failure, 1)
+	s.answer <- struct{}{}
+	e := p.Start(s.address, 2, &Call{Method: "GET", Target: "/", Host: "h"}, func(_ Response, f Failure) { done <- f })
+	<-done
+	waitIdle(p)
+	other := p.Start(s.address, 2, &Call{Method: "GET", Target: "/", Host: "h"}, func(Response, Failure) {}) // keeps the host known
+	c := newConn(p, s.address, e.currentConn().nc)
+	c.closed = true
+	p.park(c)
+	p.mu.Lock()
+	if got := len(p.hosts[s.address].idle); got != 0 {
+		t.Errorf("got %d idle connections, want none", got)
+	}
+	p.mu.Unlock()
+	other.Cancel()
+	p.Close()
+	_ = s.server.Close()
+}
+
 // TestSendHeader guards against headers that state the time at which a call was started, although it waited for a
 // connection before it was sent.
 func TestSendHeader(t *testing.T) {
