Pass texts that are not valid UTF-8 between VMs unchanged

A header value of a client that is not valid UTF-8 made the frame of a forwarded part undecodable. The aggregator closed the link, and with it failed the other requests that used it. The same holds for the request target, the request ID and signatures of upstreams.

The CBOR decoder now accepts any bytes in texts. The encoding stays the same, so that VMs of both versions understand each other; a VM of the version before still closes the link on such a text.

Ruled out: byte strings in the schema, which the version before rejects for all parts; dropping the header, which upstreams may need.

Test: codec TestForeignBytes, which fails without the option ("cbor: invalid UTF-8 string").

--- a/codec/codec.go
+++ b/codec/codec.go
@@ -36,6 +36,9 @@
 		FieldNameMatching: cbor.FieldNameMatchingCaseSensitive,
 		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
 		MaxNestedLevels:   16,
+		// Header values, targets and signatures come from clients and upstreams and may hold any bytes. A frame that is
+		// rejected ends the connection for all requests that use it.
+		UTF8: cbor.UTF8DecodeInvalid,
 	}.DecMode()
 	if err != nil {
 		return nil, errors.Wrap(err, "create CBOR decoding mode")
