Take a response status below 100 or above 599 for malformed

net/http accepts any three characters that are a number as a status. Responses with 000, +20 or 099 were skipped as informational, and 600 or 999 with a signature counted as complete. What such an upstream did is unknown.

transport/http1, which reads every response of upstreams and of the store, now ends the call as malformed and closes the connection, before the header is looked at: single upstreams, shards, forwarded parts, health checks, and reads, watches and probes of the store. Informational responses from 100 to 199 are skipped as before. transport/rest and transport/feed of the product front end take every status that they do not know for a failure already.

--- a/transport/http1/http1.go
+++ b/transport/http1/http1.go
@@ -143,6 +143,9 @@
 	// before the upstream closes the connection.
 	idleMargin = 500 * time.Millisecond
 
+	// maxStatus is the highest status of a response.
+	maxStatus = 599
+
 	// readBufferSize is large enough for most responses to be read at once.
 	readBufferSize = 4 << 10
 
--- a/transport/http1/response.go
+++ b/transport/http1/response.go
@@ -13,6 +13,15 @@
 // errTooLarge is returned for a response that exceeds a size limit.
 var errTooLarge = errors.New("response exceeds the size limit")
 
+// errInvalidStatus is returned for a response whose status is not one of HTTP.
+var errInvalidStatus = errors.New("invalid response status")
+
+// isValidStatus reports whether the status has three digits and is from 100 to 599. net/http accepts any three characters
+// that are a number, such as +20 and 999. What an upstream did that answers so is unknown.
+func isValidStatus(resp *http.Response) bool {
+	return resp.StatusCode >= http.StatusContinue && resp.StatusCode <= maxStatus
+}
+
 // limitedReader reads from a connection and fails once more bytes were read than allowed. net/http sets no limit on
 // the head of a response, so an upstream that never ends it would otherwise fill the memory of the VM.
 type limitedReader struct {
@@ -64,6 +73,9 @@
 		return parsedResponse{}, err
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if !isValidStatus(resp) {
+		return parsedResponse{}, errInvalidStatus
+	}
 	limited.allow(maxBody + maxBodyOverhead)
 	body, err := c.readBody(resp, call.LargeResponse)
 	if err != nil {
