Tell all VMs of the last canary request that a coordinator allows

A VM whose coordinator replied late asked the next VM in the order, or decided itself. Neither knew what the coordinator had allowed, so that both granted a canary request, and a third upstream crashed.

A coordinator that allows a canary request after which no further one is allowed now announces it before it replies, in a canary-verdict without an ID. The others allow none until the report of that canary request is due, until a report ends it, or until a success.

The price: a request under a suspect fingerprint whose coordinator is late is refused as not run instead of run. Left: an announcement that is as late as the reply, as from a coordinator that is paused between its decision and both messages.

Ruled out: announcing every canary request, four messages for each new fingerprint; not asking a second coordinator, since a silent one would then refuse every new request.

--- a/entry/vm/canary.go
+++ b/entry/vm/canary.go
@@ -77,7 +77,20 @@
 			return decision
 		}
 	}
-	return vm.quarantine.Decide(vm.now(), fingerprint, deadline)
+	return vm.decide(fingerprint, deadline)
+}
+
+// decide decides as the coordinator. If it allows the last canary request, it tells the other VMs before it replies, since
+// a request that waits too long for this VM's reply asks another one.
+func (vm *VM) decide(fingerprint uint64, deadline time.Time) quarantine.Decision {
+	decision := vm.quarantine.Decide(vm.now(), fingerprint, deadline)
+	if decision.Verdict != quarantine.Canary {
+		return decision
+	}
+	if until, ok := vm.quarantine.Exhausted(vm.now(), fingerprint); ok {
+		vm.broadcast(newVerdictMessage(0, fingerprint, quarantine.Decision{Verdict: quarantine.Canary, Until: until}))
+	}
+	return decision
 }
 
 func (vm *VM) requestVerdict(ctx context.Context, coordinator netip.AddrPort, fingerprint uint64, deadline time.Time) (quarantine.Decision, bool) {
@@ -105,12 +118,16 @@
 
 // receiveCanaryRequest replies with a verdict as the coordinator of the fingerprint.
 func (vm *VM) receiveCanaryRequest(from netip.AddrPort, m *wire.CanaryRequest) {
-	decision := vm.quarantine.Decide(vm.now(), m.Fingerprint, m.Deadline)
+	decision := vm.decide(m.Fingerprint, m.Deadline)
 	vm.transports.Peers.Send(from, newVerdictMessage(m.ID, m.Fingerprint, decision))
 }
 
 func (vm *VM) receiveCanaryVerdict(m *wire.CanaryVerdict) {
 	decision := quarantine.Decision{Verdict: parseVerdict(m.Verdict), Until: m.Until}
+	if m.ID == 0 && decision.Verdict == quarantine.Canary {
+		vm.quarantine.Hold(vm.now(), m.Fingerprint, m.Until)
+		return
+	}
 	if m.ID == 0 {
 		vm.quarantine.ApplyDecision(vm.now(), m.Fingerprint, decision)
 		return
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -56,6 +56,15 @@
 				case "cached":
 					got, ok := table.Lookup(now, fp)
 					return fmt.Sprint(show(got)[:8], ok)
+				case "hold": // another coordinator has allowed the last canary request
+					within, _ := time.ParseDuration(arg)
+					table.Hold(now, fp, now.Add(within))
+				case "exhausted":
+					until, ok := table.Exhausted(now, fp)
+					if !ok {
+						return " no"
+					}
+					return fmt.Sprint(" ", until.Sub(now))
 				case "good", "refused", "suspect":
 					v := map[string]quarantine.Verdict{"good": quarantine.Good, "refused": quarantine.Refused}[cmd]
 					table.ApplyDecision(now, fp, quarantine.Decision{Verdict: v, Until: now.Add(time.Hour)})
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -18,6 +18,7 @@
 	refusedUntil     time.Time
 	quarantineEnded  time.Time // end of the last quarantine; zero again after CrashWindow and a success
 	lastSuccess      time.Time
+	heldUntil        time.Time // until then another coordinator's canary request is in flight that allows no further one
 }
 
 type canary struct {
@@ -45,6 +46,9 @@
 	}
 	r.endQuarantine(now)
 	r.expireCrashes(now)
+	if !now.Before(r.heldUntil) {
+		r.heldUntil = time.Time{}
+	}
 	if !now.Before(r.lateReportsUntil) {
 		r.lateReports = 0
 	}
@@ -116,7 +120,9 @@
 	switch {
 	case !deadline.After(now):
 		return Decision{Wait, now}
-	case n > 0 && n+r.lostReports+len(r.crashes) >= r.crashThreshold():
+	case now.Before(r.heldUntil):
+		return Decision{Wait, r.heldUntil}
+	case r.exhausted():
 		return Decision{Wait, r.canaries[0].deadline.Add(reportMargin)}
 	case n > 0 && now.Before(r.lastStart().Add(secondCanaryDelay)):
 		return Decision{Wait, r.lastStart().Add(secondCanaryDelay)}
@@ -126,6 +132,13 @@
 	return Decision{Canary, deadline}
 }
 
+// exhausted reports whether the canary requests in flight allow no further one, because the fingerprint is quarantined if
+// all of them crash.
+func (r *record) exhausted() bool {
+	n := len(r.canaries)
+	return n > 0 && n+r.lostReports+len(r.crashes) >= r.crashThreshold()
+}
+
 // lastStart returns the latest start of a canary request in flight. There must be one.
 func (r *record) lastStart() time.Time {
 	last := r.canaries[0].started
@@ -171,6 +184,7 @@
 	r.canaries = nil
 	r.lostReports = 0
 	r.refusedUntil = time.Time{}
+	r.heldUntil = time.Time{}
 	r.lastSuccess = now
 	r.goodUntil = until
 }
@@ -182,6 +196,9 @@
 		return
 	}
 	lost := r.lostReports
+	if len(r.canaries)+lost == 0 {
+		r.heldUntil = time.Time{}
+	}
 	r.releaseCanary()
 	if r.lostReports < lost && now.Before(r.refusedUntil) && len(r.crashes)+r.lostReports < r.crashThreshold() {
 		r.refusedUntil = time.Time{}
@@ -242,7 +259,7 @@
 
 // evictable reports whether the record holds nothing but a possible verdict Good.
 func (r *record) evictable() bool {
-	return len(r.canaries)+r.lostReports+r.lateReports+len(r.crashes) == 0 && r.refusedUntil.IsZero() && r.quarantineEnded.IsZero()
+	return len(r.canaries)+r.lostReports+r.lateReports+len(r.crashes) == 0 && r.refusedUntil.IsZero() && r.heldUntil.IsZero() && r.quarantineEnded.IsZero()
 }
 
 // expired reports whether the record may be evicted if all remaining records have suspected crashes.
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -89,6 +89,33 @@
 	})
 }
 
+// Exhausted returns the last deadline of the canary requests that this table has allowed, if it allows no further one until
+// they are reported. The other VMs must then allow none either, which they learn with Hold.
+func (t *Table) Exhausted(now time.Time, fp uint64) (time.Time, bool) {
+	return table.WithResults(t.state, func(s *tableState) (time.Time, bool) {
+		el, ok := s.records[fp]
+		if !ok {
+			return time.Time{}, false
+		}
+		e := s.refresh(now, el)
+		if !e.exhausted() {
+			return time.Time{}, false
+		}
+		return e.canaries[len(e.canaries)-1].deadline, true
+	})
+}
+
+// Hold allows no canary request until the last one of another coordinator, which ends by deadline, must have been reported.
+// A request whose coordinator replies late asks another one, which would otherwise allow one too many.
+func (t *Table) Hold(now time.Time, fp uint64, deadline time.Time) {
+	t.state.With(func(s *tableState) {
+		if e := s.getOrCreate(now, fp); e != nil {
+			e.heldUntil = later(e.heldUntil, earlier(deadline, now.Add(maxCanaryDuration)).Add(reportMargin))
+			s.reinsert(e)
+		}
+	})
+}
+
 // Counts returns the table's counts. It takes time linear in the number of fingerprints.
 func (t *Table) Counts() Counts {
 	return table.WithResult(t.state, func(s *tableState) Counts {
