Let waiting attempts take a token of a request limit that is named meanwhile

An attempt that began before its upstream named a limit had taken no token, and was sent beyond this VM's share once it got its connection. It now takes its token when it is asked whether it may be sent, and ends as not sent if there is none.

Of the class "waits after which what was true before is not asked again". Not covered: the share of a cold start that is listed during the wait.

Tests: replica limit.txt, which fails without it (may be sent true), and usable.txt for the other reasons.

--- a/replica/replica.go
+++ b/replica/replica.go
@@ -136,12 +136,10 @@
 }
 
 // MayBeSent reports whether the replica of an attempt that has not been sent yet still accepts requests. It does not if it
-// has been replaced by a later start.
+// has been replaced by a later start. An attempt that has taken no token, because the upstream has named its request limit
+// since, takes one now.
 func (t *Table) MayBeSent(now time.Time, h AttemptHandle) bool {
-	return table.WithResult(t.state, func(st *state) bool {
-		r, ok := st.replicas[h.Server.ID]
-		return ok && r == h.replica && st.eligible(now, r, nil)
-	})
+	return table.WithResult(t.state, func(st *state) bool { return st.mayBeSent(now, h) })
 }
 
 // EndAttempt records the result of an attempt. If it shows that the upstream has crashed, EndAttempt returns the
@@ -174,4 +172,6 @@
 	Server  route.Server // the upstream, as it was listed at the start
 	replica *replica
 	number  uint64
+	// untokenedShare is this VM's share of a request limit, if the upstream had named none when the attempt began; else 0.
+	untokenedShare float64
 }
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -80,6 +80,8 @@
 		return fmt.Sprintln("chosen", h.table.Choose(now, h.rand, args))
 	case "start":
 		return h.start(now, args)
+	case "waited": // the attempt named args[0] gets its connection
+		return fmt.Sprintln("may be sent", h.table.MayBeSent(now, h.handles[args[0]]))
 	case "starts":
 		return h.startMany(now, args)
 	case "end":
--- a/replica/state.go
+++ b/replica/state.go
@@ -144,15 +144,34 @@
 	if !ok || !st.eligible(now, r, nil) || r.limited(now) || !st.admitCold(now, r, service) {
 		return AttemptHandle{}, false
 	}
+	limitShare := share.OtherZone
 	if r.server.Zone == st.settings.Zone {
-		r.limit.take(now, share.SameZone)
-	} else {
-		r.limit.take(now, share.OtherZone)
+		limitShare = share.SameZone
 	}
+	r.limit.take(now, limitShare)
 	st.zone(r.server.Zone).recordAttempt(now)
 	st.lastAttempt++
 	r.pending = append(r.pending, pendingAttempt{st.lastAttempt, now})
-	return AttemptHandle{Server: r.server, replica: r, number: st.lastAttempt}, true
+	h := AttemptHandle{Server: r.server, replica: r, number: st.lastAttempt}
+	if r.limit.rate == 0 {
+		h.untokenedShare = limitShare
+	}
+	return h, true
+}
+
+func (st *state) mayBeSent(now time.Time, h AttemptHandle) bool {
+	r, ok := st.replicas[h.Server.ID]
+	if !ok || r != h.replica || !st.eligible(now, r, nil) {
+		return false
+	}
+	if h.untokenedShare == 0 || r.limit.rate == 0 {
+		return true
+	}
+	if r.limited(now) {
+		return false
+	}
+	r.limit.take(now, h.untokenedShare)
+	return true
 }
 
 // admitCold reports whether the replica may receive one more request from this VM, and counts it if the replica
