--- a/standin/shard/shard.go
+++ b/standin/shard/shard.go
@@ -42,12 +42,16 @@
 	Duplicating      Behaviour = "duplicate"       // responds, and sends a copy where the next response on the connection is expected
 	DuplicatingNoID  Behaviour = "duplicate-no-id" // the same, and no response echoes the request's ID
 	Limiting         Behaviour = "limit"           // responds, and names RequestLimit
+	Large            Behaviour = "large"           // responds with a body of LargeBytes
 	Crashing         Behaviour = "crash"           // stops for good when it begins to execute a request for a CrashingTarget
 )
 
 // RequestLimit is the number of requests a second, of all VMs together, that a server with the behaviour Limiting names.
 const RequestLimit = 4
 
+// LargeBytes is the size of the body that a server with the behaviour Large sends.
+const LargeBytes = 200 << 10
+
 // CrashingTarget is the part of a request target that makes a server with the behaviour Crashing stop.
 const CrashingTarget = "crashing"
 
@@ -259,6 +263,9 @@
 // respond ends a request that was executed.
 func (s *Server) respond(w http.ResponseWriter, r *http.Request, b Behaviour, requestID string) {
 	record := Record(s.id, r.RequestURI)
+	if b == Large {
+		record = bytes.Repeat(record, LargeBytes/len(record))
+	}
 	switch b {
 	case DroppingResponse:
 		panic(http.ErrAbortHandler)
