Bound connections and bytes that a VM holds for its clients

A body was read whole before any admission control and connections were not bounded, so that 300 clients took 98 to 125 MB with bodies and 227 MB with heads. Messages of other VMs have a budget of their own (transport/socket, relay).

--- a/event/event.go
+++ b/event/event.go
@@ -40,6 +40,7 @@
 	StoreLost        // the platform's store stopped answering
 	StoreRecovered   // the platform's state is available again
 	FollowingPeers   // the VM switched to taking the platform's state from other VMs, or back to the store
+	ClientsLimited   // a connection or a request of a client exceeded a bound and was refused or given up
 	PeerLost         // a VM that this one connects to stopped sending heartbeats
 	PeerFound        // a heartbeat of a new VM was received
 	ProcessPaused    // the process was suspended
@@ -53,7 +54,7 @@
 var kindNames = [kindCount]string{
 	"none", "refused", "failed", "partial", "attempt", "hedged", "abandoned", "part-cancelled", "relayed", "relay-failed", "answered",
 	"started", "stopping", "stopped", "reloaded", "ready", "config-accepted", "config-rejected",
-	"zone-evacuated", "isolated", "server-changed", "entry-rejected", "upstream-draining", "upstream-resting", "upstream-limited", "crash-suspected", "store-lost", "store-regained", "following", "peer-lost", "peer-found",
+	"zone-evacuated", "isolated", "server-changed", "entry-rejected", "upstream-draining", "upstream-resting", "upstream-limited", "crash-suspected", "store-lost", "store-regained", "following", "clients-limited", "peer-lost", "peer-found",
 	"paused", "panic", "dropped", "problem",
 }
 
@@ -99,6 +100,7 @@
 	Reason        Key = "reason"   // reason for the decision, as text
 	Limit         Key = "limit"    // requests a second that an upstream takes from all VMs, 0 for no limit
 	Count         Key = "count"    // number of items that the event is about
+	Bytes         Key = "bytes"    // bytes that are held
 	Peer          Key = "peer"     // address of another VM
 	Address       Key = "address"  // network address
 	Error         Key = "error"    // error message
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -109,6 +109,14 @@
 	Sharded    bool          // the answer comes from a sharded route
 }
 
+// Size returns the bytes of the answer's body.
+func (a Answer) Size() int {
+	if a.Response != nil {
+		return len(a.Response.Body)
+	}
+	return len(a.Records)
+}
+
 // Relay sends parts of queries over shards to other VMs, which answer them.
 type Relay interface {
 	// Zones returns the zones with another VM to which parts can be sent.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -33,6 +33,7 @@
 	secondRuns  *budget.TokenBucket
 	workers     *pool.Pool[func()]
 	nextID      atomic.Uint64
+	budget      Budget // for queries of other VMs; nil for no bound
 
 	mu       sync.Mutex
 	outgoing map[uint64]*outgoingQuery
@@ -72,6 +73,19 @@
 	return r
 }
 
+// Budget bounds the memory of queries of other VMs.
+type Budget interface {
+	// Take takes n bytes and returns false if they are not available.
+	Take(n int64) bool
+	// Return returns bytes that were taken.
+	Return(n int64)
+}
+
+// LimitIncoming bounds the queries of other VMs that are held. It must be called before the first one arrives.
+func (r *Relay) LimitIncoming(b Budget) {
+	r.budget = b
+}
+
 // Close stops the workers. It must not be called while queries are in flight.
 func (r *Relay) Close() {
 	r.workers.Stop()
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/netip"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -17,6 +18,7 @@
 	"pistachioshore.dev/aggregator"
 	"pistachioshore.dev/event"
 	"pistachioshore.dev/forward"
+	"pistachioshore.dev/intake"
 	"pistachioshore.dev/relay"
 	"pistachioshore.dev/result"
 	"pistachioshore.dev/wire"
@@ -39,6 +41,7 @@
 	served     []string
 	cancelled  chan struct{} // closed when a held query is cancelled
 	paused     bool
+	budget     *intake.Budget
 	attempts   int      // maximum attempts of the route
 	forwarded  []uint64 // IDs of the queries forwarded by the current process
 	stale      []uint64 // IDs of the queries forwarded by earlier processes
@@ -184,6 +187,12 @@
 		return s.ask(time.Second, duration(f[1]))
 	case "pause":
 		s.paused = true
+	case "budget": // bytes
+		n, _ := strconv.ParseInt(f[1], 10, 64) // an invalid number makes the expected output differ
+		s.budget = intake.NewBudget(n)
+		s.relay.LimitIncoming(s.budget)
+	case "returned":
+		s.waitFor(t, "the bytes of the query", func() bool { return s.budget.Held() == 0 })
 	case "restart": // the process is killed and started again
 		s.relay.Close()
 		s.start()
--- a/table/table.go
+++ b/table/table.go
@@ -19,6 +19,7 @@
 	RankBudget     Rank = 60 // admission, hedge and retry budgets
 	RankBalancer   Rank = 70 // load and latency estimates
 	RankReplica    Rank = 75 // upstreams that a VM sends requests to directly
+	RankIntake     Rank = 80 // connections and bytes of clients
 	RankPending    Rank = 85 // replies, connections and requests in flight at a VM
 	RankShutdown   Rank = 90 // shutdown state and counters
 )
--- a/transport/socket/options.go
+++ b/transport/socket/options.go
@@ -14,6 +14,7 @@
 	maxSilence   time.Duration
 	redialDelay  time.Duration
 	queueLimit   int
+	readBudget   ReadBudget
 	client       *http.Client
 }
 
@@ -25,6 +26,7 @@
 		maxSilence:   3 * time.Second,
 		redialDelay:  200 * time.Millisecond,
 		queueLimit:   4096,
+		readBudget:   unlimited{},
 		client:       &http.Client{Transport: &http.Transport{}},
 	}
 }
@@ -48,6 +50,29 @@
 	return func(o *options) { o.queueLimit = n }
 }
 
+// ReadBudget bounds the bytes of messages that are being received.
+type ReadBudget interface {
+	// Take takes n bytes and returns false if they are not available.
+	Take(n int64) bool
+	// Return returns bytes that were taken.
+	Return(n int64)
+}
+
+// unlimited is a ReadBudget without a bound.
+type unlimited struct{}
+
+// Take takes any number of bytes.
+func (unlimited) Take(int64) bool { return true }
+
+// Return does nothing.
+func (unlimited) Return(int64) {}
+
+// WithReadBudget sets a bound on the received messages of all connections together; without one only each message is
+// bounded. A message for which the budget has no bytes closes its connection.
+func WithReadBudget(b ReadBudget) Option {
+	return func(o *options) { o.readBudget = b }
+}
+
 // WithDial sets how connections are opened; the default is a net.Dialer.
 func WithDial(dial transport.DialFunc) Option {
 	return func(o *options) { o.client = &http.Client{Transport: &http.Transport{DialContext: dial}} }
--- a/transport/socket/socket.go
+++ b/transport/socket/socket.go
@@ -6,6 +6,7 @@
 package socket
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -204,13 +205,38 @@
 	if err != nil {
 		return nil, err
 	}
-	frame, err := io.ReadAll(io.LimitReader(message, int64(h.opts.frameLimit)+1))
+	frame, taken, err := h.readFrame(message)
+	defer h.opts.readBudget.Return(taken)
 	if err != nil {
 		return nil, err
 	}
 	return h.codec.DecodeFrame(frame, h.opts.frameLimit)
 }
 
+// freeFrameBytes is the part of a message that is read without asking the budget. Heartbeats and most parts are smaller,
+// so that links last when the budget is exhausted.
+const freeFrameBytes = 16 << 10
+
+// readFrame reads a message of at most one byte more than the frame limit, and returns how many bytes it took from the
+// budget. Memory grows as bytes arrive.
+func (h *Hub) readFrame(r io.Reader) (frame []byte, taken int64, err error) {
+	r = io.LimitReader(r, int64(h.opts.frameLimit)+1)
+	var buf bytes.Buffer
+	for size := int64(freeFrameBytes); ; size *= 2 {
+		n, err := io.CopyN(&buf, r, size)
+		if err == io.EOF {
+			return buf.Bytes(), taken, nil
+		}
+		if err != nil {
+			return nil, taken, err
+		}
+		if n = 2 * size; !h.opts.readBudget.Take(n) {
+			return nil, taken, result.New(result.Overloaded, "no memory for the message")
+		}
+		taken += n
+	}
+}
+
 // reject closes a connection with err as the reason; without an error, the first message was not hello.
 func (h *Hub) reject(c *websocket.Conn, err error) {
 	reason := result.New(result.Malformed, "the first message must be hello").Error()
