Let the stand-in store come back from an older copy

Restore replaces the state by a copy that was taken before, drops the history, fails open watches and raises the era by one. Store-Era is in all responses once StateEra has set it; without that the store behaves like one without eras. A watch from a revision that the store does not have gets 410, also without an era: until now it waited until the store had reached that revision again.

--- a/standin/kv/kv.go
+++ b/standin/kv/kv.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -19,6 +20,9 @@
 // test fill several pages.
 const pageSize = 3
 
+// eraHeader is the header that states the era. The store raises it by one when it comes back from an older copy.
+const eraHeader = "Store-Era"
+
 // maxWatchWait is the longest time that a watch may wait.
 const maxWatchWait = 30 * time.Second
 
@@ -52,12 +56,20 @@
 	state *table.Guarded[state]
 }
 
+// Copy is the state of a store at one moment.
+type Copy struct {
+	revision uint64
+	items    map[string]event
+}
+
 type state struct {
 	revision          uint64
+	era               uint64 // stated in all responses; 0 if they state none
 	items             map[string]event
 	history           []event
 	compactedRevision uint64 // the history up to this revision is dropped
 	fault             Fault
+	restorations      int
 	callCount         int
 	changed           chan struct{} // closed and replaced at each change
 }
@@ -77,6 +89,7 @@
 	s.state.With(func(st *state) {
 		st.callCount++
 		fault = st.fault
+		st.writeEra(w)
 	})
 	switch fault {
 	case Unavailable:
@@ -144,11 +157,42 @@
 	})
 }
 
+// StateEra makes the store state its era in all responses. A store that never does is like the platform's before it had eras.
+func (s *Store) StateEra(era uint64) {
+	s.state.With(func(st *state) { st.era = era })
+}
+
+// TakeCopy returns a copy of the items and their revisions.
+func (s *Store) TakeCopy() Copy {
+	return table.WithResult(s.state, func(st *state) Copy { return Copy{st.revision, maps.Clone(st.items)} })
+}
+
+// Restore replaces the state by a copy. Later writes are lost and their revisions are issued again, the history is dropped,
+// and open watches fail. The era rises by one if the store states it. The fault stays as it is.
+func (s *Store) Restore(c Copy) {
+	s.state.With(func(st *state) {
+		st.revision, st.items = c.revision, maps.Clone(c.items)
+		st.history, st.compactedRevision = nil, c.revision
+		st.restorations++
+		if st.era > 0 {
+			st.era++
+		}
+		st.notifyWatches()
+	})
+}
+
 // CallCount returns the number of calls so far.
 func (s *Store) CallCount() int {
 	return table.WithResult(s.state, func(st *state) int { return st.callCount })
 }
 
+// writeEra states the era in a response.
+func (st *state) writeEra(w http.ResponseWriter) {
+	if st.era > 0 {
+		w.Header().Set(eraHeader, strconv.FormatUint(st.era, 10))
+	}
+}
+
 func (st *state) appendEvent(e event) {
 	st.history = append(st.history, e)
 	st.notifyWatches()
@@ -180,6 +224,7 @@
 			page.Items = append(page.Items, st.items[key])
 		}
 		page.Revision = st.revision
+		st.writeEra(w)
 	})
 	writeJSON(w, page)
 }
@@ -194,8 +239,9 @@
 		return
 	}
 	end := time.Now().Add(time.Duration(ms) * time.Millisecond)
+	restorations := table.WithResult(s.state, func(st *state) int { return st.restorations })
 	for {
-		events, revision, compacted, changed, fault := s.eventsSince(q.Get("prefix"), after)
+		events, revision, compacted, changed, fault := s.eventsSince(w, q.Get("prefix"), after, restorations)
 		switch {
 		case fault != NoFault && fault != HangNewCalls:
 			panic(http.ErrAbortHandler)
@@ -215,17 +261,22 @@
 	}
 }
 
-// eventsSince returns the events under a prefix after a revision, whether the history since then is dropped,
-// and a channel that is closed at the next change.
-func (s *Store) eventsSince(prefix string, after uint64) (events []event, revision uint64, compacted bool, changed <-chan struct{}, fault Fault) {
+// eventsSince returns the events under a prefix after a revision, whether the store lacks the history since then or the
+// revision itself, and a channel that is closed at the next change. It states the era. The fault is that of a closed connection if
+// the store was restored since the watch began.
+func (s *Store) eventsSince(w http.ResponseWriter, prefix string, after uint64, restorations int) (events []event, revision uint64, compacted bool, changed <-chan struct{}, fault Fault) {
 	s.state.With(func(st *state) {
-		compacted = after < st.compactedRevision
+		compacted = after < st.compactedRevision || after > st.revision
 		for _, e := range st.history {
 			if e.Revision > after && strings.HasPrefix(e.Key, prefix) {
 				events = append(events, e)
 			}
 		}
 		revision, changed, fault = st.revision, st.changed, st.fault
+		if st.restorations != restorations {
+			fault = ResetConnections
+		}
+		st.writeEra(w)
 	})
 	return events, revision, compacted, changed, fault
 }
