Let a scheduled removal of an upstream be postponed

A store that comes back from an older copy twice in a row gives its servers time to register again each time. Remove keeps the first time of a removal, so that a server that the first copy lacks would be dropped during the second drill.

--- a/replica/replica.go
+++ b/replica/replica.go
@@ -78,6 +78,11 @@
 	return table.WithResult(t.state, func(st *state) bool { return st.remove(now, id, until) })
 }
 
+// ExtendRemoval postpones the removal of a replica that is scheduled for removal and has not been removed yet.
+func (t *Table) ExtendRemoval(now time.Time, id string, until time.Time) {
+	t.state.With(func(st *state) { st.extendRemoval(now, id, until) })
+}
+
 // HasReplicas reports whether the service has any replica.
 func (t *Table) HasReplicas(service string) bool {
 	return table.WithResult(t.state, func(st *state) bool { return len(st.services[service]) > 0 })
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -58,6 +58,10 @@
 		var wait int
 		fmt.Sscan(args[1], &wait)
 		return fmt.Sprintf("known %t\n", h.table.Remove(now, args[0], now.Add(time.Duration(wait)*time.Millisecond)))
+	case "extend": // the time until the removal of a replica
+		var wait int
+		fmt.Sscan(args[1], &wait)
+		h.table.ExtendRemoval(now, args[0], now.Add(time.Duration(wait)*time.Millisecond))
 	case "evacuate":
 		zones := map[string]bool{}
 		for _, z := range args {
--- a/replica/state.go
+++ b/replica/state.go
@@ -54,6 +54,12 @@
 	return true
 }
 
+func (st *state) extendRemoval(now time.Time, id string, until time.Time) {
+	if r, ok := st.replicas[id]; ok && !r.removeAt.IsZero() && !r.removalDue(now) && until.After(r.removeAt) {
+		r.removeAt = until
+	}
+}
+
 func (st *state) drop(r *replica) {
 	delete(st.replicas, r.server.ID)
 	list := st.services[r.server.Service]
