Follow a store that comes back from an older copy

The platform's store may come back from a copy that is a few seconds old. It raises Store-Era, loses later writes and issues their revisions again. A VM that compares revisions across that moment misses what was written under the reissued ones, keeps what was lost for good, and mixes both states in what it passes on.

Each feed now belongs to one era. Heartbeats, requests and updates between VMs carry the era of each cursor, and leave it out while the store states none, as such a store is read as before.

Scripts of the old functions pass era 0.

Ruled out: telling a restoration by a revision that goes back, because it may have been overtaken when a VM sees it; one era for all feeds of a VM, because it would have nothing to offer to others between its two listings; dropping the old items before the new listing is in, because the store may go away again.

--- a/event/event.go
+++ b/event/event.go
@@ -39,6 +39,7 @@
 	CrashSuspected   // an upstream crashed while running a request
 	StoreLost        // the platform's store stopped answering
 	StoreRecovered   // the platform's state is available again
+	StoreRestored    // the platform's store came back from an older copy of its data
 	FollowingPeers   // the VM switched to taking the platform's state from other VMs, or back to the store
 	PeerLost         // a VM that this one connects to stopped sending heartbeats
 	PeerFound        // a heartbeat of a new VM was received
@@ -53,7 +54,7 @@
 var kindNames = [kindCount]string{
 	"none", "refused", "failed", "partial", "attempt", "hedged", "abandoned", "part-cancelled", "relayed", "relay-failed", "answered",
 	"started", "stopping", "stopped", "reloaded", "ready", "config-accepted", "config-rejected",
-	"zone-evacuated", "isolated", "server-changed", "entry-rejected", "upstream-draining", "upstream-resting", "upstream-limited", "crash-suspected", "store-lost", "store-regained", "following", "peer-lost", "peer-found",
+	"zone-evacuated", "isolated", "server-changed", "entry-rejected", "upstream-draining", "upstream-resting", "upstream-limited", "crash-suspected", "store-lost", "store-regained", "store-restored", "following", "peer-lost", "peer-found",
 	"paused", "panic", "dropped", "problem",
 }
 
@@ -103,6 +104,7 @@
 	Address       Key = "address"  // network address
 	Error         Key = "error"    // error message
 	Revision      Key = "revision" // revision of the platform's store
+	Era           Key = "era"      // era of the platform's store, which rises when the store comes back from an older copy
 	State         Key = "state"    // state of an upstream, or whether a condition holds
 
 	Fingerprint Key = "fingerprint" // hash of the content of a request
--- a/member/links.go
+++ b/member/links.go
@@ -55,13 +55,13 @@
 
 // newHeartbeat returns the heartbeat of this VM.
 func (m *Member) newHeartbeat(now time.Time) *wire.Heartbeat {
-	cursors := m.state.Cursors()
+	cursors, eras := toWireCursors(m.state.Cursors())
 	var revision uint64
 	if len(cursors) > 0 {
 		revision = slices.Max(cursors)
 	}
 	h := codec.ToWireHeartbeat(m.fleet.NextHeartbeat(now, revision, 0, true))
-	h.Cursors, h.Fed = cursors, m.state.ReadsPlatform()
+	h.Cursors, h.Eras, h.Fed = cursors, eras, m.state.ReadsPlatform()
 	h.Cores = m.self.Cores
 	h.UnreachableZones = m.listener.SilentZones(now)
 	h.ZoneMembers = m.members.ZoneCount(now)
--- a/member/member.go
+++ b/member/member.go
@@ -25,17 +25,18 @@
 // PlatformState is the state that a VM has read from the platform, which is the configuration and the list of servers.
 // VMs exchange it with one another.
 type PlatformState interface {
-	// Cursors returns the revision of the latest change in each part of the state, or nothing until the state is
+	// Cursors returns the position of the latest change in each part of the state, or nothing until the state is
 	// complete.
-	Cursors() []uint64
+	Cursors() []Cursor
 	// ReadsPlatform reports whether this VM reads the state from the platform itself, so that others can follow it.
 	ReadsPlatform() bool
 	// NeedsImport reports whether this VM needs the state of another VM with the given cursors, which is newer.
-	NeedsImport(cursors []uint64) bool
-	// ConfirmCurrent records that a VM that reads the platform knows no changes after the given cursors.
-	ConfirmCurrent(now time.Time, cursors []uint64)
+	NeedsImport(cursors []Cursor) bool
+	// ConfirmCurrent records that a VM that reads the platform knows no changes after the given cursors, nor an era above
+	// theirs.
+	ConfirmCurrent(now time.Time, cursors []Cursor)
 	// Export encodes the changes since the given cursors, or the whole state if there are none.
-	Export(since []uint64) ([]byte, error)
+	Export(since []Cursor) ([]byte, error)
 	// Import applies a state that another VM has exported.
 	Import(state []byte) error
 	// SetFollowing selects whether the state comes from other VMs instead of the platform.
@@ -196,7 +197,7 @@
 	case e.Heartbeat != nil:
 		m.handleHeartbeat(now, from, e.Heartbeat)
 	case e.ConfigRequest != nil:
-		m.sendState(from, e.ConfigRequest.Cursors)
+		m.sendState(from, fromWireCursors(e.ConfigRequest.Cursors, e.ConfigRequest.Eras))
 	case e.CanaryReport != nil:
 		m.handleCrashReport(now, from, e.CanaryReport)
 	case e.UpstreamDraining != nil:
@@ -232,13 +233,14 @@
 			}
 		})
 	}
+	cursors := fromWireCursors(h.Cursors, h.Eras)
 	if h.Fed {
-		m.state.ConfirmCurrent(now, h.Cursors)
+		m.state.ConfirmCurrent(now, cursors)
 	}
 	if ok && from == primary {
 		m.handleReportedZones(now, h.UnreachableZones)
 	}
-	m.requestState(now, from, ok && from != primary, h.Cursors)
+	m.requestState(now, from, ok && from != primary, cursors)
 }
 
 // handleCrashReport records a crash that another VM has reported. In a large tier the reporter may be connected to
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -35,6 +35,7 @@
 	disconnected []string
 	shown        []string
 	revision     uint64
+	era          uint64
 	platformDown bool
 	following    bool
 	imported     []string
@@ -106,7 +107,7 @@
 }
 
 // Cursors returns the revision of the state.
-func (s *scriptedVM) Cursors() []uint64 { return []uint64{s.revision} }
+func (s *scriptedVM) Cursors() []Cursor { return []Cursor{{s.era, s.revision}} }
 
 // ReadsPlatform reports whether the platform is available.
 func (s *scriptedVM) ReadsPlatform() bool { return !s.platformDown }
@@ -115,16 +116,18 @@
 func (s *scriptedVM) SetFollowing(on bool) { s.following = on }
 
 // Export returns a fixed state.
-func (s *scriptedVM) Export([]uint64) ([]byte, error) { return []byte("state"), nil }
+func (s *scriptedVM) Export([]Cursor) ([]byte, error) { return []byte("state"), nil }
 
 // NeedsImport reports whether the platform is unavailable and the other VM has a newer state.
-func (s *scriptedVM) NeedsImport(cursors []uint64) bool {
-	return s.platformDown && len(cursors) > 0 && cursors[0] > s.revision
+func (s *scriptedVM) NeedsImport(cursors []Cursor) bool {
+	return s.platformDown && len(cursors) > 0 && cursors[0].Compare(s.Cursors()[0]) > 0
 }
 
 // ConfirmCurrent records the cursors.
-func (s *scriptedVM) ConfirmCurrent(_ time.Time, cursors []uint64) {
-	s.confirmed = append(s.confirmed, cursors...)
+func (s *scriptedVM) ConfirmCurrent(_ time.Time, cursors []Cursor) {
+	for _, c := range cursors {
+		s.confirmed = append(s.confirmed, c.Revision)
+	}
 }
 
 // Import records the state.
@@ -193,6 +196,11 @@
 			fmt.Sscan(f[3], &revision)
 			h.Cursors = []uint64{revision}
 		}
+		for _, text := range f[min(len(f), 4):] { // eras
+			var era uint64
+			fmt.Sscan(text, &era)
+			h.Eras = append(h.Eras, era)
+		}
 		s.member.handle(now, from, &wire.Envelope{Kind: codec.KindHeartbeat, Heartbeat: h})
 	case "connected":
 		s.member.introduce(now, from)
@@ -221,6 +229,12 @@
 		s.member.NotifyFollowers(now)
 	case "away":
 		s.platformDown = true
+	case "era": // of the own state, with its revision
+		fmt.Sscan(f[2], &s.era)
+		fmt.Sscan(f[3], &s.revision)
+	case "eras": // that the messages to other VMs state
+		h := s.member.newHeartbeat(now)
+		s.shown = append(s.shown, fmt.Sprintf("heartbeat cursors %v eras %v", h.Cursors, h.Eras))
 	case "ask":
 		s.member.handle(now, from, &wire.Envelope{Kind: codec.KindConfigRequest, ConfigRequest: &wire.ConfigRequest{}})
 	case "state":
--- a/member/state.go
+++ b/member/state.go
@@ -56,7 +56,7 @@
 // requestState requests the state of another VM if it is newer. A VM other than the primary aggregator is asked only
 // if the primary does not provide the change within primaryHeadStart, which limits the number of VMs that ask one
 // aggregator.
-func (m *Member) requestState(now time.Time, from netip.AddrPort, notPrimary bool, cursors []uint64) {
+func (m *Member) requestState(now time.Time, from netip.AddrPort, notPrimary bool, cursors []Cursor) {
 	needed := m.state.NeedsImport(cursors)
 	due := false
 	m.peerState.With(func(s *peerState) {
@@ -73,11 +73,13 @@
 		}
 	})
 	if due {
-		m.peers.Send(from, &wire.Envelope{Kind: codec.KindConfigRequest, ConfigRequest: &wire.ConfigRequest{Cursors: m.state.Cursors()}})
+		r := &wire.ConfigRequest{}
+		r.Cursors, r.Eras = toWireCursors(m.state.Cursors())
+		m.peers.Send(from, &wire.Envelope{Kind: codec.KindConfigRequest, ConfigRequest: r})
 	}
 }
 
-func (m *Member) sendState(to netip.AddrPort, since []uint64) {
+func (m *Member) sendState(to netip.AddrPort, since []Cursor) {
 	state, err := m.state.Export(since)
 	if err != nil {
 		m.events.Record(event.Problem, event.F(event.Reason, "cannot export the platform state to another VM"), event.F(event.Peer, to), event.F(event.Error, err))
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -93,6 +93,10 @@
 	// Digest corresponds to the JSON schema field "digest".
 	Digest uint64 `json:"digest"`
 
+	// Eras holds the era of the platform's store to which each cursor belongs. It is
+	// absent if the store states none.
+	Eras []uint64 `json:"eras,omitempty,omitzero"`
+
 	// Revision corresponds to the JSON schema field "revision".
 	Revision uint64 `json:"revision"`
 }
@@ -372,6 +376,10 @@
 	// Digest corresponds to the JSON schema field "digest".
 	Digest uint64 `json:"digest"`
 
+	// Eras holds the era of the platform's store to which each cursor belongs. It is
+	// absent if the store states none.
+	Eras []uint64 `json:"eras,omitempty,omitzero"`
+
 	// Fed tells whether the sender can read from the platform.
 	Fed bool `json:"fed,omitempty,omitzero"`
 
