--- a/standin/kv/kv.go
+++ b/standin/kv/kv.go
@@ -70,6 +70,7 @@
 	compactedRevision uint64 // the history up to this revision is dropped
 	fault             Fault
 	restorations      int
+	lostPrefix        string // the next response with events under this prefix is lost; empty for none
 	callCount         int
 	changed           chan struct{} // closed and replaced at each change
 }
@@ -181,6 +182,11 @@
 	})
 }
 
+// LoseResponse makes the next watch of a prefix that has events end without a response, while its connection stays open.
+func (s *Store) LoseResponse(prefix string) {
+	s.state.With(func(st *state) { st.lostPrefix = prefix })
+}
+
 // CallCount returns the number of calls so far.
 func (s *Store) CallCount() int {
 	return table.WithResult(s.state, func(st *state) int { return st.callCount })
@@ -248,6 +254,9 @@
 		case compacted:
 			w.WriteHeader(http.StatusGone)
 			return
+		case len(events) > 0 && s.losesResponse(q.Get("prefix")):
+			<-r.Context().Done()
+			return
 		case len(events) > 0 || !time.Now().Before(end):
 			writeJSON(w, struct {
 				Events   []event `json:"events"`
@@ -261,6 +270,17 @@
 	}
 }
 
+// losesResponse reports whether the next response with events under a prefix is to be lost, which it then is.
+func (s *Store) losesResponse(prefix string) bool {
+	return table.WithResult(s.state, func(st *state) bool {
+		lost := st.lostPrefix != "" && st.lostPrefix == prefix
+		if lost {
+			st.lostPrefix = ""
+		}
+		return lost
+	})
+}
+
 // eventsSince returns the events under a prefix after a revision, whether the store lacks the history since then or the
 // revision itself, and a channel that is closed at the next change. It states the era. The fault is that of a closed connection if
 // the store was restored since the watch began.
