--- a/standin/soak/actions.go
+++ b/standin/soak/actions.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -55,6 +56,9 @@
 // firstDuplicatingSeed is the first seed that also draws servers that answer twice.
 const firstDuplicatingSeed = 3000
 
+// firstRestoringSeed is the first seed that also draws restorations of the store from an older copy. The store states its era.
+const firstRestoringSeed = 4000
+
 // schedule draws the actions of a seed; they come in bursts and overlap. Even seeds draw no store faults, because
 // the bounds on how soon VMs apply a change are not checked for any VM during these.
 func schedule(seed uint64, length time.Duration) []action {
@@ -63,6 +67,9 @@
 	if seed%2 == 0 {
 		kinds = kinds[:len(kinds)-storeFaultKinds]
 	}
+	if seed >= firstRestoringSeed {
+		kinds = append(slices.Clone(kinds), "store-restore", "store-restore")
+	}
 	var actions []action
 	for at := time.Duration(0); at < length; {
 		for range 1 + r.IntN(3) {
@@ -93,6 +100,8 @@
 		}[a.kind])
 		wait(a.duration, done)
 		s.store.SetFault(kv.NoFault)
+	case "store-restore":
+		s.restoreStore(a, done)
 	case "compact":
 		s.store.Compact()
 	case "noise":
@@ -232,13 +241,13 @@
 		return
 	}
 	defer s.zoneBEvacuated.Store(false)
-	s.store.Put("op/evacuate/"+zone, []byte("{}"))
+	s.setEvacuated(zone, true)
 	from := time.Now()
 	wait(duration, done)
 	s.history.mu.Lock()
 	s.history.evacuations[zone] = append(s.history.evacuations[zone], span{from, time.Now()})
 	s.history.mu.Unlock()
-	s.store.Delete("op/evacuate/" + zone)
+	s.setEvacuated(zone, false)
 }
 
 // wait waits for d, or until done is closed.
--- a/standin/soak/cluster.go
+++ b/standin/soak/cluster.go
@@ -35,6 +35,10 @@
 
 	publishMu     sync.Mutex // serializes publications
 	configVersion int        // of the last configuration
+	published     []byte     // the last configuration
+
+	evacuateMu sync.Mutex // serializes evacuations
+	evacuated  bool       // the operator has evacuated zone B
 }
 
 // server is one instance of a server, behind a proxy.
@@ -55,6 +59,9 @@
 		extended: set.Seed >= firstExtendedSeed, crashing: set.Seed >= firstCrashingSeed, duplicating: set.Seed >= firstDuplicatingSeed,
 		store: kv.New(), history: newHistory(), storeAddress: netip.MustParseAddrPort(l.Addr().String()),
 	}
+	if set.Seed >= firstRestoringSeed {
+		s.store.StateEra(1)
+	}
 	s.storeServer = &http.Server{Handler: s.store}
 	go func() { _ = s.storeServer.Serve(l) }() // returns ErrServerClosed on close
 	for _, service := range services() {
@@ -89,6 +96,11 @@
 			}
 		}
 		var err error
+		if set.Seed >= firstRestoringSeed {
+			if v.metricsAddress, err = ports.allocate(); err != nil {
+				return err
+			}
+		}
 		if v.storeProxy, err = newProxy(s.storeAddress); err != nil {
 			return err
 		}
@@ -159,6 +171,7 @@
 	s.history.mu.Lock()
 	s.history.publications = append(s.history.publications, publication{time.Now(), names})
 	s.history.mu.Unlock()
+	s.published = b
 	s.store.Put("op/config", b)
 }
 
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -67,6 +67,11 @@
 	if err := s.awaitReady(readyTimeout); err != nil {
 		s.history.recordViolation("recovery: " + err.Error())
 	}
+	if set.Seed >= firstRestoringSeed {
+		if err := s.awaitServers(serversTimeout); err != nil {
+			s.history.recordViolation("servers: " + err.Error())
+		}
+	}
 	wait(time.Second, nil) // so that the checks also cover requests after the recovery
 	close(done)
 	clients.Wait()
--- a/standin/soak/vm.go
+++ b/standin/soak/vm.go
@@ -22,6 +22,7 @@
 	frontAddress   netip.AddrPort
 	readyAddress   netip.AddrPort
 	controlAddress netip.AddrPort
+	metricsAddress netip.AddrPort // invalid for seeds that do not read the metrics
 	storeProxy     *proxy
 	command        []string
 	dir            string
@@ -39,6 +40,7 @@
 	Zones map[string]string         `json:"zones"`
 	Bind  map[string]netip.AddrPort `json:"bindAddresses"`
 	Seeds []netip.AddrPort          `json:"seeds"`
+	Ports []uint16                  `json:"internalPorts,omitempty"`
 
 	Limits map[string]float64        `json:"limits"`
 	Bounds map[string]float64        `json:"bounds"`
@@ -55,6 +57,9 @@
 		Bounds: map[string]float64{"retryBudgetRatio": 0.2, "budgetExtraRetries": 52, "graceS": gracePeriod.Seconds(), "warmupOvershoot": 1.5, "warmupSlack": 5},
 		Store:  map[string]netip.AddrPort{"address": v.storeProxy.address()},
 	}
+	if v.metricsAddress.IsValid() {
+		s.Ports = []uint16{v.metricsAddress.Port()}
+	}
 	b, err := json.Marshal(s)
 	if err != nil {
 		return errors.Wrap(err, "encode the settings")
