--- a/event/event.go
+++ b/event/event.go
@@ -42,6 +42,7 @@
 	CrashSuspected    // an upstream crashed while running a request
 	StoreLost         // the platform's store stopped answering
 	StoreRecovered    // the platform's state is available again
+	StoreRestored     // the platform's store came back from an older copy of its data
 	FollowingPeers    // the VM switched to taking the platform's state from other VMs, or back to the store
 	ClientsLimited    // a connection or a request of a client exceeded a bound and was refused or given up
 	PeerLost          // a VM that this one connects to stopped sending heartbeats
@@ -57,7 +58,7 @@
 var kindNames = [kindCount]string{
 	"none", "refused", "failed", "partial", "attempt", "hedged", "abandoned", "part-cancelled", "relayed", "relay-failed", "waiting", "wait-refused", "answered",
 	"started", "stopping", "stopped", "reloaded", "ready", "config-accepted", "config-rejected", "config-unconfirmed",
-	"zone-evacuated", "isolated", "server-changed", "entry-rejected", "upstream-draining", "upstream-resting", "upstream-limited", "crash-suspected", "store-lost", "store-regained", "following", "clients-limited", "peer-lost", "peer-found",
+	"zone-evacuated", "isolated", "server-changed", "entry-rejected", "upstream-draining", "upstream-resting", "upstream-limited", "crash-suspected", "store-lost", "store-regained", "store-restored", "following", "clients-limited", "peer-lost", "peer-found",
 	"paused", "panic", "dropped", "problem",
 }
 
@@ -110,6 +111,7 @@
 	Address       Key = "address"  // network address
 	Error         Key = "error"    // error message
 	Revision      Key = "revision" // revision of the platform's store
+	Era           Key = "era"      // era of the platform's store, which rises when the store comes back from an older copy
 	State         Key = "state"    // state of an upstream, or whether a condition holds
 
 	Fingerprint Key = "fingerprint" // hash of the content of a request
--- a/member/teams.go
+++ b/member/teams.go
@@ -20,9 +20,9 @@
 type TeamState interface {
 	// Teams returns the teams of the configuration in force, or nil if requests need no API key.
 	Teams() *team.Directory
-	// ConfigCursor returns the revision of the latest change of the configuration that this VM knows, or false if it does
-	// not know the whole configuration yet.
-	ConfigCursor() (uint64, bool)
+	// ConfigCursor returns the revision of the latest change of the configuration that this VM knows, with the era of the
+	// store that it belongs to, or false if it does not know the whole configuration yet.
+	ConfigCursor() (era, cursor uint64, ok bool)
 	// Following reports whether the VM takes the platform's state from other VMs.
 	Following() bool
 	// BootClock returns the reading of the VM's boot clock.
@@ -163,19 +163,19 @@
 		return
 	}
 	age, proved := m.teams.freshness.Age(m.teams.source.BootClock())
-	cursor, listed := m.teams.source.ConfigCursor()
+	era, cursor, listed := m.teams.source.ConfigCursor()
 	if !proved || !listed {
 		return
 	}
-	m.peers.Send(to, &wire.Envelope{Kind: codec.KindFreshnessAnswer, FreshnessAnswer: &wire.FreshnessAnswer{Sequence: sequence, Age: age, Cursor: cursor}})
+	m.peers.Send(to, &wire.Envelope{Kind: codec.KindFreshnessAnswer, FreshnessAnswer: &wire.FreshnessAnswer{Sequence: sequence, Age: age, Era: era, Cursor: cursor}})
 }
 
 func (m *Member) handleFreshnessAnswer(a *wire.FreshnessAnswer) {
 	if m.teams == nil {
 		return
 	}
-	cursor, listed := m.teams.source.ConfigCursor()
-	m.teams.freshness.Answer(a.Sequence, a.Age, listed && cursor >= a.Cursor)
+	era, cursor, listed := m.teams.source.ConfigCursor()
+	m.teams.freshness.Answer(a.Sequence, a.Age, listed && era == a.Era && cursor >= a.Cursor) // revisions of different eras cannot be compared
 }
 
 // handleUsage charges the requests that another VM has admitted, and reports them further if need be.
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -93,6 +93,10 @@
 	// Digest corresponds to the JSON schema field "digest".
 	Digest uint64 `json:"digest"`
 
+	// Eras holds the era of the platform's store to which each cursor belongs. It is
+	// absent if the store states none.
+	Eras []uint64 `json:"eras,omitempty,omitzero"`
+
 	// Revision corresponds to the JSON schema field "revision".
 	Revision uint64 `json:"revision"`
 }
@@ -311,6 +315,10 @@
 	// knows.
 	Cursor uint64 `json:"cursor"`
 
+	// Era is the era of the store that the cursor belongs to; 0 if the store states
+	// none.
+	Era uint64 `json:"era,omitempty,omitzero"`
+
 	// Sequence corresponds to the JSON schema field "sequence".
 	Sequence uint64 `json:"sequence"`
 }
@@ -405,6 +413,10 @@
 	// Digest corresponds to the JSON schema field "digest".
 	Digest uint64 `json:"digest"`
 
+	// Eras holds the era of the platform's store to which each cursor belongs. It is
+	// absent if the store states none.
+	Eras []uint64 `json:"eras,omitempty,omitzero"`
+
 	// Fed tells whether the sender can read from the platform.
 	Fed bool `json:"fed,omitempty,omitzero"`
 
