--- a/forward/overload_test.go
+++ b/forward/overload_test.go
@@ -88,8 +88,8 @@
 	return s
 }
 
-func (l *load) CheckHealth(route.Server, string, func() bool, func(bool))             {}
-func (l *load) Probe(_ route.Server, _ int, _ func(replica.ProbeResult)) {}
+func (l *load) CheckHealth(route.Server, string, func() bool, func(bool)) {}
+func (l *load) Probe(_ route.Server, _ int, _ func(replica.ProbeResult))  {}
 
 func (s *simAttempt) arrive() {
 	s.load.mu.Lock()
