--- a/intake/limits.go
+++ b/intake/limits.go
@@ -28,8 +28,9 @@
 	// reservedFDs is the number of descriptors that the platform reserves for files.
 	reservedFDs = 200
 
-	// internalDivisor is the divisor of the front's connections that gives those of another listener.
-	internalDivisor = 4
+	// internalDivisor is the divisor of the front's connections that gives those of another listener. The smallest VM must
+	// be able to serve as a seed, to which all VMs of a tier of some 300 connect when it starts.
+	internalDivisor = 2
 
 	// stuckDivisor is the divisor of a listener's connections that gives those that may be stuck.
 	stuckDivisor = 4
