--- a/forward/forward.go
+++ b/forward/forward.go
@@ -42,7 +42,8 @@
 	Shards        []int    // positions of the shards in the route, if the request is a part of a query; nil for a whole one
 	PriorAttempts int      // attempts per shard that other VMs may have made already
 	Key           team.Key // digest of the client's API key; zero if it sent none, or if the request is relayed
-	Team          string   // team that the key belongs to; empty if the route needs none
+	Team          string   // team that the key belongs to; empty if there is none
+	charged       bool     // counted against the quota of the team
 	// OnProgress, if not nil, receives the present answer to a part of a query when the query could be answered without
 	// the shards that are missing, and from then on now and then. It must not block.
 	OnProgress func(a Answer)
--- a/forward/query.go
+++ b/forward/query.go
@@ -358,6 +358,7 @@
 	switch {
 	case later && q.vm.crashTracker.Blocked(now, q.fingerprint):
 		return result.Quarantined
+	case q.route.Public:
 	case q.vm.teamWithdrawn(q.req):
 		return result.KeyRejected
 	case later && q.req.Team != "" && q.vm.confirm().code != 0:
--- a/forward/team.go
+++ b/forward/team.go
@@ -101,14 +101,16 @@
 		return rejectedKey(req.Key)
 	}
 	req.Team, req.Priority = t.Name, t.Priority
+	if !t.Quota.Limited() {
+		return refusal{}
+	}
 	ok, retry := vm.teams.quotas.Admit(time.Now(), t.Name, t.Quota)
 	if !ok {
 		reason := fmt.Sprintf("quota of %g requests a second and a burst of %g is used up", t.Quota.Rate, t.Quota.Burst)
 		return refusal{code: result.QuotaExceeded, reason: reason, retryAfter: retry}
 	}
-	if t.Quota.Limited() {
-		vm.teams.onAdmitted()
-	}
+	req.charged = true
+	vm.teams.onAdmitted()
 	return refusal{}
 }
 
@@ -137,16 +139,24 @@
 	return refusal{code: result.ConfigUnconfirmed, reason: reason, retryAfter: unconfirmedRetryAfter}
 }
 
-// recheckTeam refuses a request whose key was withdrawn since it was authorized. A part of another VM's query has no key; it
-// is refused if its team is gone, or if this VM cannot confirm its configuration.
-func (vm *VM) recheckTeam(req *Request) refusal {
+// recheckTeam refuses a request whose key was withdrawn since it was authorized, which may be long ago if its body came
+// slowly, or for which the route has come to need a key. A part of another VM's query has no key; it is refused if its team
+// is gone, or if this VM cannot confirm its configuration, so that the other VM turns to another one.
+func (vm *VM) recheckTeam(req *Request, cfg *route.Config, r *route.Route) refusal {
+	if cfg.Teams == nil || r.Public {
+		return refusal{}
+	}
+	if !req.Relayed && req.Team == "" {
+		return rejectedKey(req.Key)
+	}
 	if vm.teamWithdrawn(req) {
 		return refusal{code: result.KeyRejected, reason: "the API key was withdrawn"}
 	}
-	if req.Relayed && req.Team != "" && vm.confirm().code != 0 {
+	denied := vm.confirm()
+	if denied.code != 0 && req.Relayed {
 		return refusal{code: result.NotReady, reason: "the configuration cannot be confirmed"}
 	}
-	return refusal{}
+	return denied
 }
 
 // teamWithdrawn reports whether the configuration in force no longer has the key of the request, or for a relayed one its
@@ -166,9 +176,17 @@
 	}
 }
 
-// returnQuota takes back the count of a request that has certainly not run.
-func (vm *VM) returnQuota(req *Request, a Answer) {
-	if req.Team != "" && !req.Relayed && a.Code.Effect() == result.NotRun {
+// ReturnQuota takes back the count of an authorized request that is not served after all.
+func (vm *VM) ReturnQuota(req *Request) {
+	if req.charged {
+		req.charged = false
 		vm.teams.quotas.Return(time.Now(), req.Team)
 	}
 }
+
+// returnRefused takes back the count of a request that was refused. That of a client that has left may have run.
+func (vm *VM) returnRefused(req *Request, a Answer) {
+	if a.Code.Effect() == result.NotRun && a.Code != result.Cancelled {
+		vm.ReturnQuota(req)
+	}
+}
--- a/forward/vm.go
+++ b/forward/vm.go
@@ -151,7 +151,7 @@
 // Serve returns the answer to a request.
 func (vm *VM) Serve(ctx context.Context, req *Request) (a Answer) {
 	defer vm.containPanic(req, &a)
-	defer func() { vm.returnQuota(req, a) }()
+	defer func() { vm.returnRefused(req, a) }()
 	cfg, denied := vm.config(req)
 	if denied.code != 0 {
 		return vm.refuse(req, nil, 0, denied)
@@ -160,7 +160,7 @@
 	if !ok {
 		return vm.refuse(req, nil, cfg.Version, unknownRoute)
 	}
-	if denied := vm.recheckTeam(req); denied.code != 0 {
+	if denied := vm.recheckTeam(req, cfg, r); denied.code != 0 {
 		return vm.refuse(req, r, cfg.Version, denied)
 	}
 	fingerprint := fingerprintOf(req)
@@ -249,7 +249,9 @@
 // clients do not all retry at the same time.
 func retryAfter(code result.Code) time.Duration {
 	switch code {
-	case result.UnknownRoute, result.Quarantined, result.KeyRejected, result.QuotaExceeded, result.ConfigUnconfirmed:
+	case result.ConfigUnconfirmed:
+		return unconfirmedRetryAfter
+	case result.UnknownRoute, result.Quarantined, result.KeyRejected, result.QuotaExceeded:
 		return 0
 	case result.NotReady, result.Stopping:
 		return minRetryAfter
--- a/gather/outcome.go
+++ b/gather/outcome.go
@@ -81,7 +81,7 @@
 // query waits for Resume.
 func (s *state[T]) handleCanaryFailure(now time.Time, res AttemptResult[T], st *Step) {
 	switch {
-	case res.Code == result.Quarantined:
+	case isFinal(res.Code):
 		s.failUnresolved(res.Code)
 	case res.Code.Effect() == result.NotRun:
 		s.failShard(res.Shard, res.Code)
@@ -117,6 +117,15 @@
 	return s.allowRetry(now, res.Shard)
 }
 
+// isFinal reports whether another attempt would end with the same code.
+func isFinal(code result.Code) bool {
+	switch code {
+	case result.Quarantined, result.KeyRejected, result.ConfigUnconfirmed:
+		return true
+	}
+	return false
+}
+
 // failShard ends a shard without a result. The effect of its code is NotRun only if no attempt may have run.
 func (s *state[T]) failShard(i int, code result.Code) {
 	sh := &s.shards[i]
--- a/member/member.go
+++ b/member/member.go
@@ -295,8 +295,12 @@
 }
 
 // Undelivered discards messages that were never sent. The next heartbeat replaces them, and for forwarded queries
-// the handler is notified through ConnectionLost.
-func (m *Member) Undelivered(netip.AddrPort, []*wire.Envelope) {}
+// the handler is notified through ConnectionLost. After a lost report of admitted requests, the next one is a full one.
+func (m *Member) Undelivered(vm netip.AddrPort, messages []*wire.Envelope) {
+	if slices.ContainsFunc(messages, func(e *wire.Envelope) bool { return e.UsageReport != nil }) {
+		m.forgetMet(vm)
+	}
+}
 
 // Connected tells a VM what was reported before there was a connection to it. Reports are sent once, and to the connected
 // VMs only, so that a VM that starts, or returns from a partition, has missed them.
--- a/member/teams.go
+++ b/member/teams.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"pistachioshore.dev/aggregator"
@@ -37,9 +39,14 @@
 	// out of sight. Reports come at least at every tick.
 	usageTimeout = 1500 * time.Millisecond
 
-	// reportTargetTimeout is the time without a heartbeat after which a VM reports to another aggregator. It tolerates a
-	// late heartbeat from another zone, which come every two seconds.
-	reportTargetTimeout = 4500 * time.Millisecond
+	// localTargetTimeout and remoteTargetTimeout are the times without a heartbeat after which a VM reports to another
+	// aggregator than one in its own zone, or in another one. They tolerate one late heartbeat: those from other zones come
+	// every two seconds.
+	localTargetTimeout  = 2500 * time.Millisecond
+	remoteTargetTimeout = 4500 * time.Millisecond
+
+	// heardRetention is the time for which the last report of a VM is remembered.
+	heardRetention = time.Minute
 )
 
 // teamExchange is what a VM exchanges with others about teams: the numbers of requests that count against quotas, and the
@@ -49,6 +56,7 @@
 	freshness *freshness.Table
 	quotas    *quota.Table
 	wake      chan struct{}
+	asking    atomic.Bool // a question that NotifyUnconfirmed wants is to be sent
 	state     *table.Guarded[teamExchangeState]
 }
 
@@ -76,7 +84,13 @@
 
 // NotifyUnconfirmed makes the VM ask another one for a proof at once. It does not block.
 func (m *Member) NotifyUnconfirmed() {
-	m.worker.Submit(func() { m.askFreshness(time.Now()) })
+	if m.teams.asking.Swap(true) {
+		return
+	}
+	m.worker.Submit(func() {
+		m.teams.asking.Store(false)
+		m.askFreshness(time.Now())
+	})
 }
 
 // runUsage reports admitted requests until ctx ends.
@@ -100,6 +114,9 @@
 		return
 	}
 	m.askFreshness(now)
+	m.teams.state.With(func(s *teamExchangeState) {
+		maps.DeleteFunc(s.heard, func(_ netip.AddrPort, at time.Time) bool { return now.Sub(at) >= heardRetention })
+	})
 	m.teams.quotas.SetVisible(m.visibleFraction(now))
 	m.sendUsage(now)
 }
@@ -263,7 +280,11 @@
 // heartbeats.
 func (m *Member) reportTarget(now time.Time) (netip.AddrPort, bool) {
 	for _, vm := range m.freshnessSources(now) {
-		if now.Sub(m.members.LastSeen(vm)) < reportTargetTimeout {
+		timeout := localTargetTimeout
+		if m.isRemote(vm) {
+			timeout = remoteTargetTimeout
+		}
+		if now.Sub(m.members.LastSeen(vm)) < timeout {
 			return vm, true
 		}
 	}
@@ -280,11 +301,18 @@
 	return first
 }
 
-// forgetMet makes the next report to a VM a full one.
+// forgetMet makes the next report to a VM a full one. A report that has not arrived may have been one that resets the baseline
+// there, so that the next one does so again.
 func (m *Member) forgetMet(vm netip.AddrPort) {
-	if m.teams != nil {
-		m.teams.state.With(func(s *teamExchangeState) { delete(s.met, vm) })
+	if m.teams == nil {
+		return
 	}
+	m.teams.state.With(func(s *teamExchangeState) {
+		delete(s.met, vm)
+		if s.target == vm {
+			s.target = netip.AddrPort{}
+		}
+	})
 }
 
 func (m *Member) sendReportOf(to netip.AddrPort, changes []quota.Usage, full, reset, forward bool) {
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -133,7 +133,8 @@
 	return ok, retryAfter
 }
 
-// Return takes back the count of a request that was admitted but has certainly not run.
+// Return takes back the token of a request that was admitted but has certainly not run. Other VMs may have been told of it
+// already, and keep it charged.
 func (t *Table) Return(now time.Time, name string) {
 	t.state.With(func(s *state) {
 		if b := s.buckets[name]; b != nil {
@@ -252,6 +253,9 @@
 
 // charge takes the tokens of requests that other VMs have admitted.
 func (s *state) charge(now time.Time, settings Settings, name string, q team.Quota, n uint64, forward bool) {
+	if !q.Limited() {
+		return // this VM does not know the team yet, or it has no quota
+	}
 	b := s.bucket(now, settings, name, q)
 	if b == nil {
 		return
@@ -331,10 +335,11 @@
 func (t *Table) ApplyLevels(now time.Time, levels []Level, quotaOf func(name string) team.Quota) {
 	t.state.With(func(s *state) {
 		for _, l := range levels {
-			if math.IsNaN(l.Tokens) {
+			q := quotaOf(l.Team)
+			if math.IsNaN(l.Tokens) || !q.Limited() {
 				continue
 			}
-			if b := s.bucket(now, t.settings, l.Team, quotaOf(l.Team)); b != nil {
+			if b := s.bucket(now, t.settings, l.Team, q); b != nil {
 				b.refill(now, t.settings, s.visible)
 				b.tokens = min(max(l.Tokens, -b.maxDebt(t.settings)), b.capacity(t.settings, s.visible))
 			}
--- a/team/team.go
+++ b/team/team.go
@@ -1,7 +1,8 @@
 // Package team identifies the teams that may send requests, by their API keys.
 //
 // A team is a customer of the tier. The configuration lists the teams with their keys, priorities and quotas. Keys are
-// compared and kept as digests, so that no dump of a process, log line or metric can show one.
+// compared as digests, and no log line, metric or message about a request holds one. In clear text they are only in the
+// configuration as the platform publishes it.
 package team
 
 import (
