--- a/forward/waiting.go
+++ b/forward/waiting.go
@@ -121,7 +121,7 @@
 			event.F(event.Priority, r.Priority), event.F(event.Count, ahead), event.F(event.Number, a.Number))
 	}
 	vm.finishHeld(now, refused)
-	vm.releaseWaiting(now, h.service)
+	vm.releaseWaiting(time.Now(), h.service) // later than a wake-up that found no request waiting
 	return true
 }
 
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -140,20 +140,25 @@
 	return c, victims
 }
 
-// Close removes a connection and returns its bytes.
+// Close removes a connection and returns its bytes. A request whose head was read just before gets no more.
 func (t *Table[C]) Close(c *Conn[C]) {
 	t.state.With(func(s *state[C]) {
+		c.abandoned = true
 		s.remove(c)
 		s.releaseAll(c)
 	})
 }
 
-// Enter starts a phase. It returns false if the connection was given up; a request must then not be passed on.
+// Enter starts a phase. It returns false if the connection was given up; a request must then not be passed on. A head that
+// arrives during the request before it starts no phase.
 func (t *Table[C]) Enter(now time.Time, c *Conn[C], p Phase) bool {
 	return table.WithResult(t.state, func(s *state[C]) bool {
 		if c.abandoned {
 			return false
 		}
+		if p == Head && c.phase != Idle {
+			return true
+		}
 		c.phase, c.since, c.progress = p, now, now
 		if p == Idle {
 			s.releaseAll(c)
@@ -210,6 +215,9 @@
 // Respond starts the response, which has n bytes. They exist already and are therefore always granted.
 func (t *Table[C]) Respond(now time.Time, c *Conn[C], n int64) {
 	t.state.With(func(s *state[C]) {
+		if _, open := s.conns[c]; !open {
+			return
+		}
 		c.phase, c.since, c.progress = Responding, now, now
 		s.response += (min(max(n, minResponse), maxResponse) - s.response) / responseSmoothing
 		more := n - c.reserved
@@ -236,7 +244,7 @@
 				victims = append(victims, s.abandon(c))
 			}
 		}
-		if len(s.waiters) > 0 || s.held > s.limits.Bytes {
+		if len(s.waiters) > 0 || (s.limits.Bytes > 0 && s.held > s.limits.Bytes) {
 			victims = append(victims, s.makeRoom(now, max(s.waitingBytes(), s.held-s.limits.Bytes))...)
 		}
 	})
--- a/intake/limits.go
+++ b/intake/limits.go
@@ -32,6 +32,10 @@
 	// be able to serve as a seed, to which all VMs of a tier of some 300 connect when it starts.
 	internalDivisor = 2
 
+	// internalFDDivisor is the divisor of half of the descriptors that gives the most connections of another listener, so
+	// that those of all listeners leave some for upstreams, other VMs and the store.
+	internalFDDivisor = 4
+
 	// stuckDivisor is the divisor of a listener's connections that gives those that may be stuck.
 	stuckDivisor = 4
 
@@ -48,18 +52,23 @@
 		return Limits{}, false
 	}
 	front := memoryMB * connectionsPerMB
+	internal := front / internalDivisor
 	if maxFDs > 0 {
-		// The other half is for upstreams, other VMs and the store.
+		// The other half is for the other listeners, upstreams, other VMs and the store.
 		byFDs := (maxFDs - min(reservedFDs, maxFDs/4)) / 2
 		if memoryMB <= 0 || byFDs < front {
 			front = byFDs
 		}
+		internal = byFDs / internalFDDivisor
+		if memoryMB > 0 {
+			internal = min(internal, memoryMB*connectionsPerMB/internalDivisor)
+		}
 	}
 	l := Limits{Bytes: int64(memoryMB) << 20 / memoryShare, Wait: defaultWait, Stall: defaultStall}
 	for i := range listeners {
 		n := front
 		if i >= Internal {
-			n /= internalDivisor
+			n = internal
 		}
 		l.SetConnections(i, n)
 	}
--- a/waitlist/waitlist.go
+++ b/waitlist/waitlist.go
@@ -106,12 +106,13 @@
 	seq        uint64
 	step       time.Duration // longest aging step of the kinds; one for all, so that a stall of all kinds changes no order
 	interval   time.Duration // moving average of the time between two releases
+	initial    time.Duration // interval before any was observed
 	releasedAt time.Time     // last release after which requests went on waiting; zero if none did
 }
 
 // New returns an empty list. The interval is the expected time between two releases before any was observed.
 func New[T any](interval time.Duration) *List[T] {
-	return &List[T]{kinds: map[kindKey]kindState{}, interval: interval}
+	return &List[T]{kinds: map[kindKey]kindState{}, interval: interval, initial: interval}
 }
 
 // Len returns the number of waiting requests.
@@ -153,6 +154,7 @@
 	}
 	if len(l.waiters) == 0 {
 		l.releasedAt = time.Time{}
+		l.interval = min(l.interval, l.initial) // a stall before must not refuse all that come after it
 	}
 	l.waiters = append(l.waiters, w)
 	return Decision[T]{Waiter: w, Displaced: displaced}
