--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -112,8 +112,8 @@
 // TestNoByteBound guards against requests that are given up for the bytes they hold although bytes have no bound.
 func TestNoByteBound(t *testing.T) {
 	now := time.Date(2026, 12, 7, 8, 0, 0, 0, time.UTC)
-	tab := intake.New[string](intake.Limits{Connections: []int{8}, Stuck: []int{4}, Wait: time.Second, Stall: time.Second})
-	c, _ := tab.Open(now, intake.Front, "slow upload")
+	tab := New[string](Limits{Connections: []int{8}, Stuck: []int{4}, Wait: time.Second, Stall: time.Second})
+	c, _ := tab.Open(now, Front, "slow upload")
 	tab.Begin(now, c)
 	if got := tab.Sweep(now.Add(time.Minute)); len(got) != 0 {
 		t.Errorf("got %v given up, want none", got)
@@ -124,10 +124,10 @@
 // read, and never returned.
 func TestClosedBeforeHandler(t *testing.T) {
 	now := time.Date(2026, 12, 7, 8, 0, 0, 0, time.UTC)
-	tab := intake.New[string](intake.Limits{Bytes: 1 << 20, Connections: []int{8}, Stuck: []int{4}, Wait: time.Second, Stall: time.Second})
-	c, _ := tab.Open(now, intake.Front, "idle")
+	tab := New[string](Limits{Bytes: 1 << 20, Connections: []int{8}, Stuck: []int{4}, Wait: time.Second, Stall: time.Second})
+	c, _ := tab.Open(now, Front, "idle")
 	tab.Close(c)
-	if v, _, _ := tab.Begin(now, c); v != intake.Refused {
+	if v, _, _ := tab.Begin(now, c); v != Refused {
 		t.Errorf("got verdict %v, want refused", v)
 	}
 	tab.Respond(now, c, 4096)
