--- a/forward/budgets.go
+++ b/forward/budgets.go
@@ -1,8 +1,11 @@
 package forward
 
 import (
+	"pistachioshore.dev/aggregator"
 	"pistachioshore.dev/budget"
 	"pistachioshore.dev/gather"
+	"pistachioshore.dev/replica"
+	"pistachioshore.dev/route"
 	"pistachioshore.dev/table"
 )
 
@@ -88,3 +91,31 @@
 func (b *retryBudgets) Level(service string) float64 {
 	return b.forService(service).Level()
 }
+
+// maxConnections returns the number of connections that this VM may open to one upstream of the service.
+func (q *query) maxConnections(s route.Service) int {
+	if s.MaxConnections <= 0 {
+		return defaultMaxConnections
+	}
+	shares := table.WithResult(q.vm.state, func(st *vmState) aggregator.LimitShares { return st.shares })
+	share := shares.SingleUpstream()
+	if q.route.Sharded() {
+		share = shares.ShardedQuery()
+	}
+	return max(int(float64(s.MaxConnections)*share), 1)
+}
+
+// limitShare returns the fraction of the request limits of upstreams that this VM may use for queries of this kind.
+func (q *query) limitShare() replica.LimitShare {
+	shares := table.WithResult(q.vm.state, func(st *vmState) aggregator.LimitShares { return st.shares })
+	sameZone, otherZone := shares.Requests(q.route.Sharded())
+	return replica.LimitShare{SameZone: sameZone, OtherZone: otherZone}
+}
+
+// retryBudgets returns the budgets that the request's retries and hedges draw from.
+func (q *query) retryBudgets() *retryBudgets {
+	if q.route.Sharded() {
+		return q.vm.shardBudgets
+	}
+	return q.vm.budgets
+}
--- a/forward/query.go
+++ b/forward/query.go
@@ -9,14 +9,12 @@
 	"sync"
 	"time"
 
-	"pistachioshore.dev/aggregator"
 	"pistachioshore.dev/catalog"
 	"pistachioshore.dev/event"
 	"pistachioshore.dev/gather"
 	"pistachioshore.dev/replica"
 	"pistachioshore.dev/result"
 	"pistachioshore.dev/route"
-	"pistachioshore.dev/table"
 )
 
 // query is one request in flight.
@@ -472,34 +470,6 @@
 	vm.releaseWaiting(now, s.handle.Server.Service)
 }
 
-// maxConnections returns the number of connections that this VM may open to one upstream of the service.
-func (q *query) maxConnections(s route.Service) int {
-	if s.MaxConnections <= 0 {
-		return defaultMaxConnections
-	}
-	shares := table.WithResult(q.vm.state, func(st *vmState) aggregator.LimitShares { return st.shares })
-	share := shares.SingleUpstream()
-	if q.route.Sharded() {
-		share = shares.ShardedQuery()
-	}
-	return max(int(float64(s.MaxConnections)*share), 1)
-}
-
-// limitShare returns the fraction of the request limits of upstreams that this VM may use for queries of this kind.
-func (q *query) limitShare() replica.LimitShare {
-	shares := table.WithResult(q.vm.state, func(st *vmState) aggregator.LimitShares { return st.shares })
-	sameZone, otherZone := shares.Requests(q.route.Sharded())
-	return replica.LimitShare{SameZone: sameZone, OtherZone: otherZone}
-}
-
-// retryBudgets returns the budgets that the request's retries and hedges draw from.
-func (q *query) retryBudgets() *retryBudgets {
-	if q.route.Sharded() {
-		return q.vm.shardBudgets
-	}
-	return q.vm.budgets
-}
-
 // eventFields returns the log fields common to all events of the query, followed by more.
 func (q *query) eventFields(more ...event.Field) []event.Field {
 	return requestFields(q.vm, q.req, q.cfg, q.route, more)
