--- a/standin/soak/check.go
+++ b/standin/soak/check.go
@@ -27,10 +27,11 @@
 
 // check returns the violations of a soak.
 func (s *cluster) check() []string {
+	servers := s.allServers()
 	s.history.mu.Lock()
 	defer s.history.mu.Unlock()
-	c := &checker{history: s.history, servers: s.servers, executions: map[string][]execution{}, violations: slices.Clone(s.history.violations)}
-	for _, srv := range s.servers {
+	c := &checker{history: s.history, servers: servers, executions: map[string][]execution{}, violations: slices.Clone(s.history.violations)}
+	for _, srv := range servers {
 		for _, r := range srv.Executions() {
 			if r.RequestID != "" { // health checks have no ID
 				c.executions[r.RequestID] = append(c.executions[r.RequestID], execution{r, srv})
--- a/standin/soak/cluster.go
+++ b/standin/soak/cluster.go
@@ -209,6 +209,13 @@
 	MaxConnections int    `json:"maxConnections"`
 }
 
+// allServers returns the servers that were started so far. Servers that crash are replaced by timers until the soak ends.
+func (s *cluster) allServers() []*server {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.servers)
+}
+
 // liveServers returns the servers that neither crashed nor drain.
 func (s *cluster) liveServers() []*server {
 	s.mu.Lock()
@@ -230,7 +237,7 @@
 	for _, v := range s.vms {
 		v.kill()
 	}
-	for _, srv := range s.servers {
+	for _, srv := range s.allServers() {
 		srv.proxy.close()
 		srv.Close()
 	}
