--- a/replica/replica.go
+++ b/replica/replica.go
@@ -150,8 +150,8 @@
 	return id
 }
 
-// StartAttempt registers an attempt with the given expected work at the replica. It returns false if the replica no longer accepts requests,
-// or if it is cold or has named a request limit and this VM has used up its share of the allowed rate.
+// StartAttempt registers an attempt with the given expected work at the replica. It returns false if the replica no longer
+// accepts requests, or if it is cold or has named a request limit and this VM has used up its share of the allowed rate.
 func (t *Table) StartAttempt(now time.Time, id string, service route.Service, share LimitShare, work time.Duration) (AttemptHandle, bool) {
 	return table.WithResults(t.state, func(st *state) (AttemptHandle, bool) { return st.startAttempt(now, id, service, share, work) })
 }
