Remove dead code and repeated logic found in a second reading

No behaviour changes; the tests keep their assertions.

- forward: removeInFlight replaces three copies of the same check.
Requests of teams and waiting requests are counted by the same eight priorities.
- replica: Explain computes the expectation of a replica once.
- Remove freshness.Table.Reset, team.Directory.Len and waitlist.Reasons, which nothing calls.

--- a/forward/overload_test.go
+++ b/forward/overload_test.go
@@ -193,7 +193,7 @@
 		for _, n := range vm.Stats().Snapshot().Waiting.Waited {
 			l.waited += n
 		}
-		if got := vm.WaitingRequests(); got != [waitPriorities]int{} || (waiting && vm.waits.waiting.Load() != 0) {
+		if got := vm.WaitingRequests(); got != [countedPriorities]int{} || (waiting && vm.waits.waiting.Load() != 0) {
 			t.Errorf("got %v requests still waiting after the load, want none", got)
 		}
 		vm.Close()
--- a/forward/query.go
+++ b/forward/query.go
@@ -404,6 +404,17 @@
 	}
 }
 
+// removeInFlight ends an attempt in flight. It reports whether the attempt was neither abandoned nor cancelled before. The
+// caller holds the lock.
+func (q *query) removeInFlight(a gather.Attempt, s *sentAttempt) bool {
+	key := attemptKey{a.Shard, a.Number}
+	current := q.inFlight[key] == s
+	if current {
+		delete(q.inFlight, key)
+	}
+	return current
+}
+
 // abandon drops an attempt whose result is no longer needed.
 func (q *query) abandon(a gather.Attempt) {
 	q.mu.Lock()
--- a/forward/result.go
+++ b/forward/result.go
@@ -14,12 +14,8 @@
 	if q.route.Sharded() {
 		res = shardResult(res)
 	}
-	key := attemptKey{a.Shard, a.Number}
 	q.mu.Lock()
-	current := q.inFlight[key] == s
-	if current {
-		delete(q.inFlight, key)
-	}
+	current := q.removeInFlight(a, s)
 	if s.withheldCode != 0 {
 		res.Code = s.withheldCode
 	}
--- a/forward/stats.go
+++ b/forward/stats.go
@@ -27,12 +27,18 @@
 	Code  result.Code
 }
 
-// maxTeamPriority is the largest priority that is counted by itself, to bound the number of metric series.
-const maxTeamPriority = 7
+// countedPriorities is the number of priorities that requests are counted by, to bound the number of metric series. Less
+// urgent priorities than the last one count as that one.
+const countedPriorities = 8
+
+// countedPriority returns the priority that a request is counted by.
+func countedPriority(priority int) int {
+	return min(max(priority, 0), countedPriorities-1)
+}
 
 // TeamCode is the priority of requests of teams with the code of their refusal, or Complete if they were admitted.
 type TeamCode struct {
-	Priority int // at most maxTeamPriority
+	Priority int // less than countedPriorities
 	Code     result.Code
 }
 
@@ -135,6 +141,6 @@
 
 // recordTeam counts a request of a team that was admitted, with code Complete, or refused.
 func (s *Stats) recordTeam(code result.Code, priority int) {
-	key := TeamCode{Priority: min(max(priority, 0), maxTeamPriority), Code: code}
+	key := TeamCode{Priority: countedPriority(priority), Code: code}
 	s.state.With(func(c *StatsSnapshot) { c.Teams[key]++ })
 }
--- a/forward/waiting.go
+++ b/forward/waiting.go
@@ -327,11 +327,7 @@
 // failHeld ends an attempt that was released but cannot be sent.
 func (q *query) failHeld(o heldOutcome, code result.Code) {
 	q.mu.Lock()
-	key := attemptKey{o.attempt.Shard, o.attempt.Number}
-	current := q.inFlight[key] == o.held.sent
-	if current {
-		delete(q.inFlight, key)
-	}
+	current := q.removeInFlight(o.attempt, o.held.sent)
 	q.mu.Unlock()
 	if current {
 		q.failUnsent(o.attempt, code)
@@ -372,11 +368,9 @@
 			event.F(event.Elapsed, now.Sub(q.req.ReceivedAt)))
 	}
 	q.submit(func() {
-		key := attemptKey{a.Shard, a.Number}
 		q.mu.Lock()
-		current := q.inFlight[key] == o.held.sent
+		current := q.removeInFlight(a, o.held.sent)
 		if current {
-			delete(q.inFlight, key)
 			q.retryAfter = o.retryAfter
 		}
 		q.mu.Unlock()
@@ -410,15 +404,15 @@
 
 // WaitingRequests returns the number of waiting requests by priority. Less urgent priorities than the last one that is
 // counted count as that one.
-func (vm *VM) WaitingRequests() [waitPriorities]int {
-	var n [waitPriorities]int
+func (vm *VM) WaitingRequests() [countedPriorities]int {
+	var n [countedPriorities]int
 	if vm.waits == nil {
 		return n
 	}
 	vm.waits.state.With(func(queues *map[string]*serviceQueue) {
 		for _, sq := range *queues {
 			for _, h := range sq.list.Items() {
-				n[waitPriority(priorityOf(h.q.req, h.q.route))]++
+				n[countedPriority(priorityOf(h.q.req, h.q.route))]++
 			}
 		}
 	})
--- a/forward/waitstats.go
+++ b/forward/waitstats.go
@@ -6,15 +6,12 @@
 	"pistachioshore.dev/waitlist"
 )
 
-// waitPriorities is the number of priorities that waiting requests are counted by, to bound the number of metric series.
-const waitPriorities = 8
-
 // WaitStats counts the requests that waited in the VM until an upstream had room, by priority. Less urgent priorities than
 // the last one count as that one.
 type WaitStats struct {
-	Waited  [waitPriorities]uint64                     // requests that began to wait, a retry of one included
-	Refused map[waitlist.Reason][waitPriorities]uint64 // requests refused because of the queue, by reason
-	Time    Histogram                                  // time that released requests waited
+	Waited  [countedPriorities]uint64                     // requests that began to wait, a retry of one included
+	Refused map[waitlist.Reason][countedPriorities]uint64 // requests refused because of the queue, by reason
+	Time    Histogram                                     // time that released requests waited
 }
 
 func (w WaitStats) clone() WaitStats {
@@ -22,12 +19,8 @@
 	return w
 }
 
-func waitPriority(priority int) int {
-	return min(max(priority, 0), waitPriorities-1)
-}
-
 func (s *Stats) recordWaiting(priority int) {
-	s.state.With(func(c *StatsSnapshot) { c.Waiting.Waited[waitPriority(priority)]++ })
+	s.state.With(func(c *StatsSnapshot) { c.Waiting.Waited[countedPriority(priority)]++ })
 }
 
 func (s *Stats) recordWaited(elapsed time.Duration) {
@@ -37,10 +30,10 @@
 func (s *Stats) recordWaitRefused(reason waitlist.Reason, priority int) {
 	s.state.With(func(c *StatsSnapshot) {
 		if c.Waiting.Refused == nil {
-			c.Waiting.Refused = map[waitlist.Reason][waitPriorities]uint64{}
+			c.Waiting.Refused = map[waitlist.Reason][countedPriorities]uint64{}
 		}
 		n := c.Waiting.Refused[reason]
-		n[waitPriority(priority)]++
+		n[countedPriority(priority)]++
 		c.Waiting.Refused[reason] = n
 	})
 }
--- a/freshness/freshness.go
+++ b/freshness/freshness.go
@@ -84,11 +84,6 @@
 	}
 }
 
-// Reset drops the proof and all open questions, because what they relied on no longer holds.
-func (t *Table) Reset() {
-	t.state.With(func(s *state) { s.proved, s.questions = false, nil })
-}
-
 // Age returns the age of the latest proof, or false if there is none.
 func (t *Table) Age(now time.Duration) (time.Duration, bool) {
 	return table.WithResults(t.state, func(s *state) (time.Duration, bool) { return max(now-s.asOf, 0), s.proved })
--- a/replica/placement.go
+++ b/replica/placement.go
@@ -237,24 +237,25 @@
 		list := make([]Expectation, 0, len(st.services[service]))
 		lowest := math.Inf(1)
 		for _, r := range st.services[service] {
-			e := r.expect(now, workOf(work))
-			if e.Usable = slices.Contains(candidates, e.Server); e.Usable {
-				e = st.expect(now, e.Server, workOf(work))
+			var e Expectation
+			if slices.Contains(candidates, r.server.ID) {
+				e = st.expect(now, r.server.ID, workOf(work))
 				lowest = min(lowest, e.Cost)
 			} else {
-				e.Reason = st.exclusion(now, r, regions)
+				e = r.expect(now, workOf(work))
+				e.Usable, e.Reason = false, st.exclusion(now, r, regions)
 			}
 			list = append(list, e)
 		}
-		total := 0.0
+		limit, total := st.drawLimit(lowest), 0.0
 		for _, e := range list {
 			if e.Usable {
-				total += max(st.drawLimit(lowest)-e.Cost, 0)
+				total += max(limit-e.Cost, 0)
 			}
 		}
 		for i, e := range list {
 			if e.Usable {
-				list[i].Share = max(st.drawLimit(lowest)-e.Cost, 0) / total
+				list[i].Share = max(limit-e.Cost, 0) / total
 			}
 		}
 		slices.SortFunc(list, func(a, b Expectation) int {
--- a/team/team.go
+++ b/team/team.go
@@ -141,11 +141,6 @@
 	return d.byName[name]
 }
 
-// Len returns the number of teams.
-func (d *Directory) Len() int {
-	return len(d.byName)
-}
-
 // Holds reports whether the key still belongs to the team with the given name.
 func (d *Directory) Holds(name string, k Key) bool {
 	t := d.byKey[k]
--- a/waitlist/waitlist.go
+++ b/waitlist/waitlist.go
@@ -43,11 +43,6 @@
 	return [reasonCount]string{"none", "full", "displaced", "deadline"}[r]
 }
 
-// Reasons returns all reasons of a refusal.
-func Reasons() []Reason {
-	return []Reason{Full, Displaced, Deadline}
-}
-
 // Request holds what the order depends on.
 type Request struct {
 	Kind     string        // requests of one kind and priority age together
