--- a/review/lab-2/main.go
+++ b/review/lab-2/main.go
@@ -12,10 +12,12 @@
 func init() { runtime.LockOSThread() }
 
 var cases = map[string]func(l *lab, trouble bool) (int, error){
-	"bigconfig": bigConfig,
-	"hang":      hang,
-	"failback":  failback,
-	"gone":      gone,
+	"bigconfig":  bigConfig,
+	"hang":       hang,
+	"failback":   failback,
+	"gone":       gone,
+	"slowread":   slowRead,
+	"lostanswer": lostAnswer,
 }
 
 func main() {
--- a/review/lab-2/store.go
+++ b/review/lab-2/store.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -30,7 +32,18 @@
 	items    map[string]storeItem
 	history  []storeItem
 	changed  chan struct{}
-	era      uint64
+	past     []snapshot    // after each change
+	staleAge time.Duration // of reads that may be old
+
+	// loses decides whether the answer to a watch that has events is lost. Its connection then returns nothing further.
+	loses func(prefix, caller string) bool
+}
+
+// snapshot is the state since a time.
+type snapshot struct {
+	at       time.Time
+	revision uint64
+	items    map[string]storeItem
 }
 
 func newStore() *store {
@@ -63,6 +76,7 @@
 
 func (s *store) notify(it storeItem) {
 	s.history = append(s.history, it)
+	s.past = append(s.past, snapshot{time.Now(), s.revision, maps.Clone(s.items)})
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
@@ -95,8 +109,9 @@
 		Revision uint64      `json:"currentRev"`
 	}{Items: []storeItem{}}
 	s.mu.Lock()
+	now := s.read(r.URL.Query().Get("staleOk") == "1")
 	var keys []string
-	for k := range s.items {
+	for k := range now.items {
 		if strings.HasPrefix(k, prefix) && k > after {
 			keys = append(keys, k)
 		}
@@ -106,13 +121,27 @@
 		keys, page.More = keys[:pageSize], true
 	}
 	for _, k := range keys {
-		page.Items = append(page.Items, s.items[k])
+		page.Items = append(page.Items, now.items[k])
 	}
-	page.Revision = s.revision
+	page.Revision = now.revision
 	s.mu.Unlock()
 	writeJSON(w, page)
 }
 
+// read returns the present state, or that of staleAge ago if the caller takes it.
+func (s *store) read(stale bool) snapshot {
+	now := snapshot{time.Now(), s.revision, s.items}
+	if !stale {
+		return now
+	}
+	for _, p := range slices.Backward(s.past) {
+		if time.Since(p.at) >= s.staleAge {
+			return p
+		}
+	}
+	return now
+}
+
 func (s *store) watch(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	after, _ := strconv.ParseUint(q.Get("after"), 10, 64)
@@ -134,6 +163,10 @@
 		changed := s.changed
 		s.mu.Unlock()
 		if len(resp.Events) > 0 {
+			if s.loses != nil && s.loses(q.Get("prefix"), r.RemoteAddr) {
+				<-r.Context().Done()
+				return
+			}
 			writeJSON(w, resp)
 			return
 		}
