--- a/review/lab-2/failback.go
+++ b/review/lab-2/failback.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 )
@@ -10,6 +11,7 @@
 	warmupPerS  = 10
 	warmupTime  = 10 * time.Second
 	coldBound   = warmupPerS*1.5 + 5 // warmupOvershoot and warmupSlack of the settings
+	crashRate   = 3 * warmupPerS     // "crashes at a rate well above that"
 	lookupGap   = 6 * time.Millisecond
 	evacuatedS  = 6 * time.Second
 	afterReturn = 4 * time.Second
@@ -23,10 +25,11 @@
 	var evacuated []*server
 	for _, z := range zones {
 		for n := range 2 {
-			s, err := l.addServer(service, z, n+1, 6, 10*time.Millisecond)
+			s, err := l.addServer(service, z, n+1, 6, 60*time.Millisecond)
 			if err != nil {
 				return 0, err
 			}
+			s.crashes = crashRate
 			s.register("ready")
 			if z == zone {
 				evacuated = append(evacuated, s)
@@ -37,7 +40,7 @@
 		}
 	}
 	l.putConfig(config{Version: 7, Services: services, Limits: limits(), Routes: []configRoute{
-		{Name: "r-bon", Host: "pupu76.example", Prefix: "/timi402/", Type: "idempotent", TimeoutMs: 5000, TargetMs: 800, Priority: 1, Service: service, MaxAttempts: 2},
+		{Name: "r-bon", Host: "pupu76.example", Prefix: "/timi402/", Type: "non_idempotent", TimeoutMs: 5000, TargetMs: 800, Priority: 1, Service: service, MaxAttempts: 2},
 	}})
 	if err := l.startAll(20 * time.Second); err != nil {
 		return 0, err
@@ -57,7 +60,7 @@
 			}
 			work.Go(func() {
 				v := l.vms[i%len(l.vms)]
-				a := call("GET", v.front, "pupu76.example", "/timi402/2f", fmt.Sprintf("%016x", i), 5*time.Second, nil, 0)
+				a := call("POST", v.front, "pupu76.example", "/timi402/2f", fmt.Sprintf("%016x", i), 5*time.Second, strings.NewReader("1"), 1)
 				l.logf("client: %016x at %s: status %d, error %v", i, v.name, a.status, a.err)
 				mu.Lock()
 				defer mu.Unlock()
@@ -97,7 +100,7 @@
 		l.say("server %s, cold %v before the evacuation was taken back: %d requests in the second from %v after that on, bound %g", s.id, back.Sub(coldSince[s]).Round(time.Millisecond), n, at.Sub(back).Round(time.Millisecond), coldBound)
 		broken = broken || float64(n) > coldBound
 	}
-	l.say("answers by status: %v", statuses)
+	l.say("orders by status: %v; 502 and 504 are lost", statuses)
 	if broken {
 		return exitBroken, nil
 	}
--- a/review/lab-2/server.go
+++ b/review/lab-2/server.go
@@ -26,6 +26,9 @@
 	running  int
 	warmLeft time.Duration
 	body     func(id string) []byte // of an answer
+	crashes  int                    // requests in a second that make the server crash while it is cold; 0 for never
+	crashed  bool
+	http     *http.Server
 }
 
 // run is a request that the server began to run.
@@ -45,7 +48,8 @@
 		born: time.Now().UnixMilli(), capacity: capacity, work: work,
 	}
 	s.body = func(id string) []byte { return []byte(fmt.Sprintf("%-16.16s", s.id+id)) }
-	go func() { _ = (&http.Server{Handler: s}).Serve(listener) }() // ends with the process
+	s.http = &http.Server{Handler: s}
+	go func() { _ = s.http.Serve(listener) }() // ends with the process or the crash
 	return s, nil
 }
 
@@ -84,8 +88,15 @@
 	s.runs = append(s.runs, run{id, arrived})
 	s.running++
 	running := s.running
+	crash := s.warmLeft > 0 && s.crashes > 0 && !s.crashed && s.recent(arrived) > s.crashes
+	s.crashed = s.crashed || crash
 	s.mu.Unlock()
 	s.lab.logf("server %s: runs %s %s %s", s.id, r.Method, r.URL.Path, id)
+	if crash {
+		s.lab.logf("server %s: crashes, with %d requests at work", s.id, running)
+		_ = s.http.Close()
+		return
+	}
 	defer func() {
 		s.mu.Lock()
 		s.running--
@@ -102,3 +113,14 @@
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	_, _ = w.Write(body) // fails only if the caller has gone
 }
+
+// recent returns the number of requests that began to run in the second before now.
+func (s *server) recent(now time.Time) int {
+	n := 0
+	for _, r := range s.runs {
+		if now.Sub(r.at) < time.Second {
+			n++
+		}
+	}
+	return n
+}
