--- a/review/lab-2/main.go
+++ b/review/lab-2/main.go
@@ -18,6 +18,7 @@
 	"gone":       gone,
 	"slowread":   slowRead,
 	"lostanswer": lostAnswer,
+	"storm":      storm,
 }
 
 func main() {
--- a/review/lab-2/store.go
+++ b/review/lab-2/store.go
@@ -12,6 +12,9 @@
 	"time"
 )
 
+// historyTime is the time for which the store keeps its history.
+const historyTime = 20 * time.Second
+
 // pageSize is the most items of one page. The platform's pages hold about 500 items.
 const pageSize = 500
 
@@ -32,6 +35,7 @@
 	items    map[string]storeItem
 	history  []storeItem
 	changed  chan struct{}
+	dropped  uint64        // revision up to which the history has been dropped
 	past     []snapshot    // after each change
 	staleAge time.Duration // of reads that may be old
 
@@ -81,6 +85,20 @@
 	s.changed = make(chan struct{})
 }
 
+// dropHistory drops the history that is older than historyTime, and the states that no read asks for any more.
+func (s *store) dropHistory() {
+	for len(s.history) > 0 && time.Since(s.changedAt(s.history[0].Revision)) > historyTime {
+		s.dropped = s.history[0].Revision
+		s.history = s.history[1:]
+	}
+}
+
+// changedAt returns the time of a change.
+func (s *store) changedAt(revision uint64) time.Time {
+	i := slices.IndexFunc(s.past, func(p snapshot) bool { return p.revision == revision })
+	return s.past[i].at
+}
+
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	switch r.URL.Path {
 	case "/v1/kv-key":
@@ -154,6 +172,12 @@
 			Revision uint64      `json:"currentRev"`
 		}{Events: []storeItem{}}
 		s.mu.Lock()
+		s.dropHistory()
+		if after < s.dropped {
+			s.mu.Unlock()
+			w.WriteHeader(http.StatusGone)
+			return
+		}
 		for _, it := range s.history {
 			if it.Revision > after && strings.HasPrefix(it.Key, q.Get("prefix")) {
 				resp.Events = append(resp.Events, it)
