--- a/review/lab-2/lab.go
+++ b/review/lab-2/lab.go
@@ -14,6 +14,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -28,7 +29,6 @@
 // lab is the small deployment of one case: a store, servers and VMs as processes.
 type lab struct {
 	store   *store
-	address string // of the store
 	dir     string // temporary folder for settings and logs
 	program string
 	vms     []*vm
@@ -59,7 +59,7 @@
 		return nil, err
 	}
 	l := &lab{
-		store: newStore(), dir: dir, port: firstPort + rand.IntN(lastPort-firstPort), program: program, record: f, start: time.Now(),
+		store: newStore(), dir: dir, port: firstPort + rand.IntN((lastPort-firstPort)/2), program: program, record: f, start: time.Now(),
 		zones: map[string]string{"brest-nord": "armorique", "angers-est": "armorique", "cherbourg-sud": "armorique"},
 		bounds: map[string]any{
 			"seedLagS": 3, "addressReuseS": 2, "contactMs": 4000, "ackMs": 5000, "catchUpS": 4, "drainMs": 3000, "graceS": 6,
@@ -67,12 +67,6 @@
 			"budgetWindowS": 10, "budgetExtraRetries": 52, "warmupOvershoot": 1.5, "warmupSlack": 5, "evacuationMs": 5000, "recoveryS": 12,
 		},
 	}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, err
-	}
-	l.address = listener.Addr().String()
-	go func() { _ = http.Serve(listener, l.store) }() // ends with the process
 	return l, nil
 }
 
@@ -98,6 +92,8 @@
 	ready    string
 	control  string
 	internal int
+	store    string      // address at which the store answers this VM, if it has one of its own
+	silent   atomic.Bool // the store gives this VM no answer
 	cmd      *exec.Cmd
 	exited   chan struct{}
 }
@@ -128,7 +124,12 @@
 		}
 		*a = fmt.Sprintf("127.0.0.1:%d", p)
 	}
-	var err error
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	v.store = listener.Addr().String()
+	go func() { _ = http.Serve(listener, http.HandlerFunc(v.serveStore)) }() // ends with the process
 	if v.internal, err = l.freePort(); err != nil {
 		return nil, err
 	}
@@ -136,6 +137,31 @@
 	return v, nil
 }
 
+// serveStore answers the VM's calls of the store, unless the store leaves it without an answer.
+func (v *vm) serveStore(w http.ResponseWriter, r *http.Request) {
+	if v.silent.Load() {
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
+	v.lab.store.ServeHTTP(silencedWriter{w, v, r}, r)
+}
+
+// silencedWriter loses an answer that is due while the store leaves the VM without one.
+type silencedWriter struct {
+	http.ResponseWriter
+	v *vm
+	r *http.Request
+}
+
+// Write writes the answer.
+func (w silencedWriter) Write(b []byte) (int, error) {
+	if w.v.silent.Load() {
+		<-w.r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
+	return w.ResponseWriter.Write(b)
+}
+
 // writeSettings writes the settings that the deploy file's template renders: all fields of the platform as JSON.
 func (v *vm) writeSettings() (string, error) {
 	var seeds []string
@@ -155,7 +181,7 @@
 		"faultTolerance": map[string]int{"machines": 1, "zones": 1, "regions": 0},
 		"bounds":         v.lab.bounds,
 		"platform": map[string]any{
-			"address": v.lab.address, "form": "read", "writesPerS": 400, "readsPerS": 2000, "historyS": 20, "valueBytes": 1048576, "minTtlMs": 1000,
+			"address": v.store, "form": "read", "writesPerS": 400, "readsPerS": 2000, "historyS": 20, "valueBytes": 1048576, "minTtlMs": 1000,
 		},
 	}
 	b, err := json.MarshalIndent(s, "", " ")
--- a/review/lab-2/main.go
+++ b/review/lab-2/main.go
@@ -12,13 +12,14 @@
 func init() { runtime.LockOSThread() }
 
 var cases = map[string]func(l *lab, trouble bool) (int, error){
-	"bigconfig":  bigConfig,
-	"hang":       hang,
-	"failback":   failback,
-	"gone":       gone,
-	"slowread":   slowRead,
-	"lostanswer": lostAnswer,
-	"storm":      storm,
+	"bigconfig":   bigConfig,
+	"hang":        hang,
+	"failback":    failback,
+	"gone":        gone,
+	"slowread":    slowRead,
+	"lostanswer":  lostAnswer,
+	"silentstore": silentStore,
+	"storm":       storm,
 }
 
 func main() {
