Vouch for the platform's state by the age of a read

What callers saw: in a tier of more than 16 VMs the store left the aggregators without an answer while the configuration changed. The other VMs, which the store answered, went on with the old configuration until it answered everybody again: requests to the service that only the old version names, 404 on added routes.

Cause: an aggregator says that it reads the store as long as no call has failed. A watch that a silent store has taken in fails after 27 s, and probes, which are stale reads, did not count. A follower follows as long as such heartbeats come, whether or not it has the state that they tell of.

Change: a VM vouches by age. A proof is a read that is not stale, as of its start, for the feeds that hold all changes up to the revision that it returned. Aggregators renew theirs with a watch that returns at once, heartbeats carry its age and the sender's boot clock, and a follower adds the time by which the heartbeat was late and counts it only if it has the cursors of the heartbeat. It reads the store itself once the last proof is older than 0.6 of the shortest time that the settings give a change, at least 2.5 s. An aggregator whose own proof is too old takes newer state from others. An import proves nothing.

Tests, seen to fail before: platform TestTier/silent ("no in-force after 15s"). TestEraSequences now checks after each step that no VM lacks a change of a time for which it has a proof; it and TestProof fail with each of four faults put in (proofs without the revision, without the cursors, by an import, by a stale read). Further: member.txt, TestTransit.

--- a/event/event.go
+++ b/event/event.go
@@ -43,6 +43,7 @@
 	StoreLost         // the platform's store stopped answering
 	StoreRecovered    // the platform's state is available again
 	StoreRestored     // the platform's store came back from an older copy of its data
+	Confirming        // the VM, which others follow, began to confirm that it knows all changes of the platform, or no longer can
 	FollowingPeers    // the VM switched to taking the platform's state from other VMs, or back to the store
 	ClientsLimited    // a connection or a request of a client exceeded a bound and was refused or given up
 	PeerLost          // a VM that this one connects to stopped sending heartbeats
@@ -58,7 +59,7 @@
 var kindNames = [kindCount]string{
 	"none", "refused", "failed", "partial", "attempt", "hedged", "abandoned", "part-cancelled", "relayed", "relay-failed", "waiting", "wait-refused", "answered",
 	"started", "stopping", "stopped", "reloaded", "ready", "config-accepted", "config-rejected", "config-unconfirmed",
-	"zone-evacuated", "isolated", "server-changed", "entry-rejected", "upstream-draining", "upstream-resting", "upstream-limited", "crash-suspected", "store-lost", "store-regained", "store-restored", "following", "clients-limited", "peer-lost", "peer-found",
+	"zone-evacuated", "isolated", "server-changed", "entry-rejected", "upstream-draining", "upstream-resting", "upstream-limited", "crash-suspected", "store-lost", "store-regained", "store-restored", "confirming", "following", "clients-limited", "peer-lost", "peer-found",
 	"paused", "panic", "dropped", "problem",
 }
 
--- a/member/links.go
+++ b/member/links.go
@@ -30,6 +30,7 @@
 		m.peerState.With(func(s *peerState) {
 			delete(s.connected, vm)
 			delete(s.asked, vm)
+			delete(s.transits, vm)
 		})
 		m.peers.Disconnect(vm)
 	}
@@ -58,13 +59,16 @@
 
 // newHeartbeat returns the heartbeat of this VM.
 func (m *Member) newHeartbeat(now time.Time) *wire.Heartbeat {
+	// In this order the proof is not younger than stated, and does not cover more than the cursors.
+	sentAt := m.state.BootClock()
+	age, isProven := m.state.ProofAge()
 	cursors, eras := toWireCursors(m.state.Cursors())
 	var revision uint64
 	if len(cursors) > 0 {
 		revision = slices.Max(cursors)
 	}
 	h := codec.ToWireHeartbeat(m.fleet.NextHeartbeat(now, revision, 0, true))
-	h.Cursors, h.Eras, h.Fed = cursors, eras, m.state.ReadsPlatform()
+	h.Cursors, h.Eras, h.Fed, h.StateAge, h.SentAt = cursors, eras, isProven, age, sentAt
 	h.Cores = m.self.Cores
 	h.UnreachableZones = m.listener.SilentZones(now)
 	h.ZoneMembers = m.members.ZoneCount(now)
--- a/member/member.go
+++ b/member/member.go
@@ -28,13 +28,18 @@
 	// Cursors returns the position of the latest change in each part of the state, or nothing until the state is
 	// complete.
 	Cursors() []Cursor
-	// ReadsPlatform reports whether this VM reads the state from the platform itself, so that others can follow it.
-	ReadsPlatform() bool
+	// ProofAge returns the time since this VM last read from the platform itself that it knows all changes. It returns false if
+	// that is too long ago for others to rely on it, or if the VM does not read the platform.
+	ProofAge() (age time.Duration, ok bool)
+	// BootClock returns the reading of the VM's boot clock.
+	BootClock() time.Duration
 	// NeedsImport reports whether this VM needs the state of another VM with the given cursors, which is newer.
 	NeedsImport(cursors []Cursor) bool
-	// ConfirmCurrent records that a VM that reads the platform knows no changes after the given cursors, nor an era above
-	// theirs.
-	ConfirmCurrent(now time.Time, cursors []Cursor)
+	// ConfirmCurrent records that a VM that reads the platform knew no changes after the given cursors, nor an era above theirs,
+	// at a reading of this VM's boot clock.
+	ConfirmCurrent(now time.Time, asOf time.Duration, cursors []Cursor)
+	// IsConfirmed reports whether other VMs have lately confirmed that this VM knows all changes.
+	IsConfirmed() bool
 	// Export encodes the changes since the given cursors, or the whole state if there are none, as pages to be sent in this
 	// order, or as a single one that VMs of the earlier version read.
 	Export(since []Cursor, pages bool) ([][]byte, error)
@@ -42,6 +47,8 @@
 	Import(page []byte) (complete bool, err error)
 	// SetFollowing selects whether the state comes from other VMs instead of the platform.
 	SetFollowing(on bool)
+	// SetFollowed selects whether this VM proves again and again that it knows all changes, since others follow it.
+	SetFollowed(on bool)
 }
 
 // QueryHandler handles the messages about queries that VMs forward to one another.
@@ -101,8 +108,8 @@
 	lastRequest time.Time // last request for the state of another VM
 	// asked holds the VMs whose state was requested, with the time from which on each may be asked again.
 	asked       map[netip.AddrPort]time.Time
-	lastSource  time.Time // last heartbeat of an aggregator that reads the platform
-	lastPrimary time.Time // the same for this VM's primary aggregator
+	lastPrimary time.Time // last heartbeat of this VM's primary aggregator while that reads the platform
+	transits    map[netip.AddrPort]*transit
 	// zonesReportedAt is the time of the last report of unreachable zones; zero if it no longer counts.
 	zonesReportedAt time.Time
 	behindSince     time.Time              // time since which others have had a newer state; zero if none has
@@ -122,7 +129,7 @@
 	m := &Member{
 		fleet: fleet.New(self, s, now), members: aggregator.NewMemberList(vm, now), aggregators: aggregators, self: vm,
 		peers: peers, state: state, queries: queries, listener: listener, events: events, settings: s, incarnation: self.Incarnation,
-		peerState: table.NewGuarded(table.RankShutdown, peerState{connected: map[netip.AddrPort]bool{}, asked: map[netip.AddrPort]time.Time{}}),
+		peerState: table.NewGuarded(table.RankShutdown, peerState{connected: map[netip.AddrPort]bool{}, asked: map[netip.AddrPort]time.Time{}, transits: map[netip.AddrPort]*transit{}}),
 	}
 	m.worker = pool.New(1, func(task func()) { task() })
 	m.worker.OnPanic(event.PanicHandler(events, event.F(event.Reason, "message from another VM")))
@@ -187,7 +194,7 @@
 	m.expireReportedZones(now)
 	m.disconnectUnneeded(now)
 	m.publishTier(now)
-	m.updateFollowing(now)
+	m.updateFollowing()
 	m.tickTeams(now)
 }
 
@@ -235,19 +242,13 @@
 		m.publishTier(now)
 	}
 	primary, ok := m.members.PrimaryAggregator(now, m.self)
-	if h.Fed && aggregator.Contains(m.members.Aggregators(now), from) {
-		m.peerState.With(func(s *peerState) {
-			s.lastSource = now
-			if ok && from == primary {
-				s.lastPrimary = now
-			}
-		})
+	isPrimary := ok && from == primary
+	if h.Fed && isPrimary {
+		m.peerState.With(func(s *peerState) { s.lastPrimary = now })
 	}
 	cursors := fromWireCursors(h.Cursors, h.Eras)
-	if h.Fed {
-		m.state.ConfirmCurrent(now, cursors)
-	}
-	if ok && from == primary {
+	m.confirmState(now, from, h, cursors)
+	if isPrimary {
 		m.handleReportedZones(now, h.UnreachableZones)
 	}
 	m.requestState(now, from, ok && from != primary, cursors)
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -38,6 +38,10 @@
 	era          uint64
 	platformDown bool
 	following    bool
+	followed     bool
+	now          time.Time     // of the current line
+	proofAge     time.Duration // of the own proof
+	asOf         time.Time     // of the last confirmation by another VM
 	imported     []string
 	confirmed    []uint64 // cursors that VMs which read the platform have stated
 }
@@ -113,8 +117,11 @@
 // Cursors returns the revision of the state.
 func (s *scriptedVM) Cursors() []Cursor { return []Cursor{{s.era, s.revision}} }
 
-// ReadsPlatform reports whether the platform is available.
-func (s *scriptedVM) ReadsPlatform() bool { return !s.platformDown }
+// ProofAge returns the age of the script, if the platform is available.
+func (s *scriptedVM) ProofAge() (time.Duration, bool) { return s.proofAge, !s.platformDown }
+
+// BootClock returns the time of the script.
+func (s *scriptedVM) BootClock() time.Duration { return s.now.Sub(start) }
 
 // SetFollowing records whether the state comes from other VMs.
 func (s *scriptedVM) SetFollowing(on bool) { s.following = on }
@@ -132,13 +139,20 @@
 	return s.platformDown && len(cursors) > 0 && cursors[0].Compare(s.Cursors()[0]) > 0
 }
 
-// ConfirmCurrent records the cursors.
-func (s *scriptedVM) ConfirmCurrent(_ time.Time, cursors []Cursor) {
+// ConfirmCurrent records the cursors, and as of when they were known.
+func (s *scriptedVM) ConfirmCurrent(_ time.Time, asOf time.Duration, cursors []Cursor) {
+	s.asOf = start.Add(asOf)
 	for _, c := range cursors {
 		s.confirmed = append(s.confirmed, c.Revision)
 	}
 }
 
+// IsConfirmed reports whether the last confirmation is less than 2.5 s old.
+func (s *scriptedVM) IsConfirmed() bool { return s.now.Sub(s.asOf) <= 2500*time.Millisecond }
+
+// SetFollowed records whether others follow the VM.
+func (s *scriptedVM) SetFollowed(on bool) { s.followed = on }
+
 // Import records the state. A page whose text ends with "..." is not the last one.
 func (s *scriptedVM) Import(state []byte) (bool, error) {
 	s.imported = append(s.imported, string(state))
@@ -152,6 +166,9 @@
 	}
 }
 
+// clockOffset is the difference between the boot clocks of the other VMs and the one of this VM.
+const clockOffset = -40 * time.Hour
+
 var start = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
 
 // TestScripts guards against a wrong number of VMs that share the limits of upstreams, in particular while some send
@@ -187,6 +204,7 @@
 	var ms int
 	fmt.Sscan(f[0], &ms)
 	now := start.Add(time.Duration(ms) * time.Millisecond)
+	s.now = now
 	from := netip.MustParseAddrPort("10.1.0.2:80")
 	if len(f) > 2 {
 		from = netip.MustParseAddrPort("10.1.0." + f[2] + ":80")
@@ -219,21 +237,46 @@
 		fmt.Sscan(f[3], &last)
 		for n := first; n <= last; n++ {
 			vm := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, byte(n)}), 80)
-			h := &wire.Heartbeat{VM: vm, Zone: f[4], Incarnation: 5, Heard: []wire.HeardPeer{}, Fed: len(f) > 6}
+			h := &wire.Heartbeat{VM: vm, Zone: f[4], Incarnation: 5, Heard: []wire.HeardPeer{}, Fed: len(f) > 6, SentAt: s.BootClock() + clockOffset}
 			fmt.Sscan(f[5], &h.Cores)
 			s.member.handle(now, vm, &wire.Envelope{Kind: codec.KindHeartbeat, Heartbeat: h})
 		}
 	case "know": // an aggregator and the revision of its state
-		h := &wire.Heartbeat{VM: from, Zone: map[bool]string{true: "angers-est", false: "brest-nord"}[f[2] > "4"], Incarnation: 5, Cores: 0.8, Fed: true}
+		h := &wire.Heartbeat{VM: from, Zone: map[bool]string{true: "angers-est", false: "brest-nord"}[f[2] > "4"], Incarnation: 5, Cores: 0.8, Fed: true, SentAt: s.BootClock() + clockOffset}
 		h.Cursors = make([]uint64, 1)
 		fmt.Sscan(f[3], &h.Cursors[0])
 		s.member.handle(now, from, &wire.Envelope{Kind: codec.KindHeartbeat, Heartbeat: h})
+	case "proof": // an aggregator, the age of its proof in ms and, if the heartbeat was held up, for how many ms
+		var ageMs, lateMs int
+		fmt.Sscan(f[3], &ageMs)
+		if len(f) > 4 {
+			fmt.Sscan(f[4], &lateMs)
+		}
+		h := &wire.Heartbeat{VM: from, Zone: "brest-nord", Incarnation: 5, Cores: 0.8, Heard: []wire.HeardPeer{}, Fed: true, Cursors: []uint64{7}}
+		h.StateAge = time.Duration(ageMs) * time.Millisecond
+		h.SentAt = s.BootClock() - time.Duration(lateMs)*time.Millisecond + clockOffset
+		s.member.handle(now, from, &wire.Envelope{Kind: codec.KindHeartbeat, Heartbeat: h})
+	case "unproven": // the platform no longer answers an aggregator, which says so
+		h := &wire.Heartbeat{VM: from, Zone: "brest-nord", Incarnation: 5, Cores: 0.8, Heard: []wire.HeardPeer{}, SentAt: s.BootClock() + clockOffset}
+		s.member.handle(now, from, &wire.Envelope{Kind: codec.KindHeartbeat, Heartbeat: h})
+	case "earlier": // an aggregator of the earlier version, which states no age
+		h := &wire.Heartbeat{VM: from, Zone: "brest-nord", Incarnation: 5, Cores: 0.8, Heard: []wire.HeardPeer{}, Fed: true, Cursors: []uint64{7}}
+		s.member.handle(now, from, &wire.Envelope{Kind: codec.KindHeartbeat, Heartbeat: h})
+	case "as-of": // as of when the own state is confirmed
+		s.shown = append(s.shown, fmt.Sprintf("at %d ms confirmed as of %d ms, following %t", ms, s.asOf.Sub(start).Milliseconds(), s.following))
+	case "heartbeat": // shows the own proof in a heartbeat
+		h := s.member.newHeartbeat(now)
+		s.shown = append(s.shown, fmt.Sprintf("heartbeat at %v fed %t age %v", h.SentAt, h.Fed, h.StateAge))
+	case "aged": // the own proof of VM 1, in ms
+		var ageMs int
+		fmt.Sscan(f[3], &ageMs)
+		s.proofAge = time.Duration(ageMs) * time.Millisecond
 	case "claims": // a VM that takes itself for an aggregator
 		h := &wire.Heartbeat{VM: from, Zone: "angers-est", Incarnation: 5, Cores: 0.2, Heard: []wire.HeardPeer{}}
 		h.Aggregators = []wire.TierMember{{VM: from, Zone: h.Zone, Cores: h.Cores}}
 		s.member.handle(now, from, &wire.Envelope{Kind: codec.KindHeartbeat, Heartbeat: h})
 	case "show":
-		s.shown = append(s.shown, fmt.Sprintf("at %d ms linked %v following %t", ms, s.member.connectedVMs(), s.following))
+		s.shown = append(s.shown, fmt.Sprintf("at %d ms linked %v following %t followed %t", ms, s.member.connectedVMs(), s.following, s.followed))
 	case "confirmed":
 		s.shown = append(s.shown, fmt.Sprintf("at %d ms confirmed %v", ms, s.confirmed))
 	case "forward":
--- a/member/options.go
+++ b/member/options.go
@@ -18,9 +18,8 @@
 	// have, before a VM requests it from one of those.
 	primaryHeadStart = 600 * time.Millisecond
 
-	// sourceTimeout is the time without a heartbeat from any aggregator that reads the platform, after which a VM
-	// reads the platform itself. It tolerates two late heartbeats, and is below the shortest deadline for a change
-	// to take effect, which is 3 s.
+	// sourceTimeout is the time without a heartbeat from the primary aggregator after which what it reported no longer counts.
+	// It tolerates two late heartbeats.
 	sourceTimeout = 2500 * time.Millisecond
 )
 
--- a/member/state.go
+++ b/member/state.go
@@ -4,19 +4,42 @@
 	"net/netip"
 	"time"
 
+	"pistachioshore.dev/aggregator"
 	"pistachioshore.dev/codec"
 	"pistachioshore.dev/event"
 	"pistachioshore.dev/table"
 	"pistachioshore.dev/wire"
 )
 
-// updateFollowing has a VM of a large tier get the platform state from the aggregators while it receives heartbeats
-// from one that reads the platform, because the platform limits the calls of all VMs together.
-func (m *Member) updateFollowing(now time.Time) {
-	following := table.WithResult(m.peerState, func(s *peerState) bool {
-		return s.shares.Aggregators > 0 && !s.shares.IsAggregator && now.Sub(s.lastSource) < sourceTimeout
+// updateFollowing has a VM of a large tier get the platform state from the aggregators, because the platform limits the calls of
+// all VMs together. It does so only while they confirm that it knows all changes: if they no longer read the platform, if their
+// heartbeats are held up, or if their state does not arrive, it reads the platform itself.
+func (m *Member) updateFollowing() {
+	shares := table.WithResult(m.peerState, func(s *peerState) aggregator.LimitShares { return s.shares })
+	isLarge := shares.Aggregators > 0
+	m.state.SetFollowed(isLarge && shares.IsAggregator)
+	m.state.SetFollowing(isLarge && !shares.IsAggregator && m.state.IsConfirmed())
+}
+
+// confirmState records what the heartbeat of a VM that reads the platform proves: the sender knew all changes up to its cursors
+// some time ago, which is the age of its proof and the time that the heartbeat took. VMs of earlier versions state no age and
+// prove nothing.
+func (m *Member) confirmState(now time.Time, from netip.AddrPort, h *wire.Heartbeat, cursors []Cursor) {
+	if h.SentAt == 0 {
+		return
+	}
+	receivedAt := m.state.BootClock()
+	late := table.WithResult(m.peerState, func(s *peerState) time.Duration {
+		t := s.transits[from]
+		if t == nil {
+			t = &transit{}
+			s.transits[from] = t
+		}
+		return t.excess(h.Incarnation, h.SentAt, receivedAt)
 	})
-	m.state.SetFollowing(following)
+	if h.Fed && h.StateAge >= 0 {
+		m.state.ConfirmCurrent(now, receivedAt-usualTransit-late-h.StateAge, cursors)
+	}
 }
 
 // handleReportedZones records the zones that the primary aggregator cannot reach. Its queries over shards go through the
--- a/standin/kv/kv.go
+++ b/standin/kv/kv.go
@@ -166,6 +166,11 @@
 	s.state.With(func(st *state) { st.era = era })
 }
 
+// Position returns the era and the revision of the store.
+func (s *Store) Position() (era, revision uint64) {
+	return table.WithResults(s.state, func(st *state) (uint64, uint64) { return st.era, st.revision })
+}
+
 // TakeCopy returns a copy of the items and their revisions.
 func (s *Store) TakeCopy() Copy {
 	return table.WithResult(s.state, func(st *state) Copy { return Copy{st.revision, maps.Clone(st.items)} })
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -436,7 +436,8 @@
 	// absent if the store states none.
 	Eras []uint64 `json:"eras,omitempty,omitzero"`
 
-	// Fed tells whether the sender can read from the platform.
+	// Fed tells whether the sender reads from the platform and has a recent proof
+	// that it knows all changes.
 	Fed bool `json:"fed,omitempty,omitzero"`
 
 	// Heard corresponds to the JSON schema field "heard".
@@ -454,6 +455,15 @@
 	// Revision corresponds to the JSON schema field "revision".
 	Revision uint64 `json:"revision"`
 
+	// SentAt is the reading of the sender's boot clock when it wrote this message; 0
+	// in messages of earlier versions.
+	SentAt time.Duration `json:"sent-at,omitempty,omitzero"`
+
+	// StateAge is the time between the sender's last proof that it knows all changes
+	// of the platform, which it reads itself, and this message. It counts only if Fed
+	// is set.
+	StateAge time.Duration `json:"state-age,omitempty,omitzero"`
+
 	// Term corresponds to the JSON schema field "term".
 	Term uint64 `json:"term"`
 
