--- a/member/links.go
+++ b/member/links.go
@@ -27,11 +27,7 @@
 		if m.members.ShouldConnect(now, vm) {
 			continue
 		}
-		m.peerState.With(func(s *peerState) {
-			delete(s.connected, vm)
-			delete(s.asked, vm)
-			delete(s.transits, vm)
-		})
+		m.peerState.With(func(s *peerState) { delete(s.connected, vm) })
 		m.peers.Disconnect(vm)
 	}
 }
--- a/member/member.go
+++ b/member/member.go
@@ -108,8 +108,8 @@
 	lastRequest time.Time // last request for the state of another VM
 	// asked holds the VMs whose state was requested, with the time from which on each may be asked again.
 	asked       map[netip.AddrPort]time.Time
-	lastPrimary time.Time // last heartbeat of this VM's primary aggregator while that reads the platform
-	transits    map[netip.AddrPort]*transit
+	lastPrimary time.Time                   // last heartbeat of this VM's primary aggregator while that reads the platform
+	transits    map[netip.AddrPort]*transit // of the VMs that send heartbeats
 	// zonesReportedAt is the time of the last report of unreachable zones; zero if it no longer counts.
 	zonesReportedAt time.Time
 	behindSince     time.Time              // time since which others have had a newer state; zero if none has
@@ -129,7 +129,9 @@
 	m := &Member{
 		fleet: fleet.New(self, s, now), members: aggregator.NewMemberList(vm, now), aggregators: aggregators, self: vm,
 		peers: peers, state: state, queries: queries, listener: listener, events: events, settings: s, incarnation: self.Incarnation,
-		peerState: table.NewGuarded(table.RankShutdown, peerState{connected: map[netip.AddrPort]bool{}, asked: map[netip.AddrPort]time.Time{}, transits: map[netip.AddrPort]*transit{}}),
+		peerState: table.NewGuarded(table.RankShutdown, peerState{
+			connected: map[netip.AddrPort]bool{}, asked: map[netip.AddrPort]time.Time{}, transits: map[netip.AddrPort]*transit{},
+		}),
 	}
 	m.worker = pool.New(1, func(task func()) { task() })
 	m.worker.OnPanic(event.PanicHandler(events, event.F(event.Reason, "message from another VM")))
@@ -192,6 +194,7 @@
 		}
 	}
 	m.expireReportedZones(now)
+	m.expireExchanges(now)
 	m.disconnectUnneeded(now)
 	m.publishTier(now)
 	m.updateFollowing()
--- a/member/state.go
+++ b/member/state.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"maps"
 	"net/netip"
 	"time"
 
@@ -42,6 +43,15 @@
 	}
 }
 
+// expireExchanges forgets the requests that were answered or have timed out, and the VMs that no longer send heartbeats.
+func (m *Member) expireExchanges(now time.Time) {
+	bootNow := m.state.BootClock()
+	m.peerState.With(func(s *peerState) {
+		maps.DeleteFunc(s.asked, func(_ netip.AddrPort, mayAskFrom time.Time) bool { return !now.Before(mayAskFrom) })
+		maps.DeleteFunc(s.transits, func(_ netip.AddrPort, t *transit) bool { return t.isStale(bootNow) })
+	})
+}
+
 // handleReportedZones records the zones that the primary aggregator cannot reach. Its queries over shards go through the
 // aggregators of this VM's zone, so that this VM cannot see this itself. An aggregator relies on its own attempts.
 func (m *Member) handleReportedZones(now time.Time, zones []string) {
@@ -117,6 +127,7 @@
 	m.peerState.With(func(s *peerState) { s.asked[from] = now.Add(wait) })
 }
 
+// sendState sends what a VM lacks of the platform state.
 func (m *Member) sendState(to netip.AddrPort, since []Cursor, pages bool) {
 	state, err := m.state.Export(since, pages)
 	if err != nil {
--- a/member/transit.go
+++ b/member/transit.go
@@ -31,3 +31,8 @@
 	t.current = min(t.current, difference)
 	return difference - min(t.current, t.previous)
 }
+
+// isStale reports whether there was no message for so long that the estimate is of no more use.
+func (t *transit) isStale(now time.Duration) bool {
+	return now-t.since >= 3*transitWindow
+}
