--- a/codec/fuzz_test.go
+++ b/codec/fuzz_test.go
@@ -172,3 +172,49 @@
 	fuzzJSON[wire.OrderRequest](f, `{"route":"pump-order","operation":"order","key":"k","permit":{"issuer":"10.0.0.1:7000","sequence":1,`+
 		`"incarnation":2,"token":"t","expires":"2026-03-04T05:06:07.123456789Z"}}`)
 }
+
+// FuzzDecodeStatePage guards against a page of another VM that ends the process, that is decompressed beyond the limit, or
+// that is rejected without a result code.
+func FuzzDecodeStatePage(f *testing.F) {
+	c, err := New()
+	if err != nil {
+		f.Fatal(err)
+	}
+	const limit = 4 << 10
+	encode := func(p *wire.StatePage) []byte {
+		b, err := c.EncodeStatePage(p)
+		if err != nil {
+			f.Fatal(err)
+		}
+		return b
+	}
+	feeds := []wire.StateFeed{{Prefix: "op/", Era: 3, Revision: 9, Cursor: 7, Full: true, Items: []wire.StateItem{{Key: "op/config", Value: []byte("{}"), Revision: 7}}}}
+	page := encode(&wire.StatePage{Transfer: 5, Number: 1, Last: true, Feeds: feeds})
+	f.Add(page)
+	f.Add(page[:len(page)/2])
+	f.Add([]byte{})
+	f.Add([]byte{statePageFormat})
+	f.Add([]byte(`{"feeds":[]}`))
+	feeds[0].Items[0].Value = make([]byte, 1<<20)
+	large := encode(&wire.StatePage{Feeds: feeds})
+	f.Add(large)
+	if _, err := c.DecodeStatePage(large, limit); !errors.As(err, new(*result.Error)) {
+		f.Errorf("got %v for a page over the limit, want a result code", err)
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		p, err := c.DecodeStatePage(b, limit)
+		if err != nil {
+			checkFault(t, err)
+			return
+		}
+		size := 0
+		for _, feed := range p.Feeds {
+			for _, it := range feed.Items {
+				size += len(it.Key) + len(it.Value)
+			}
+		}
+		if size > limit {
+			t.Errorf("got items of %d bytes, want at most %d", size, limit)
+		}
+	})
+}
