--- a/review/lab-3/flood.go
+++ b/review/lab-3/flood.go
@@ -13,7 +13,7 @@
 
 // The deployment and the flood of largeBodies.
 const (
-	floodShards   = 20
+	floodShards   = 30
 	floodMemoryMB = 284
 	floodBody     = 256 << 10 // the largest body that the configuration allows
 	floodClients  = 250
