--- a/review/lab-3/client.go
+++ b/review/lab-3/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -37,8 +38,13 @@
 
 // send sends one request with a deadline and waits for its answer.
 func (c *client) send(method, path string, body []byte, deadline time.Duration) answer {
+	return c.sendUntil(context.Background(), method, path, body, deadline)
+}
+
+// sendUntil is send, but closes the connection when ctx ends.
+func (c *client) sendUntil(ctx context.Context, method, path string, body []byte, deadline time.Duration) answer {
 	a := answer{id: newID(), sentAt: time.Now()}
-	r, err := http.NewRequest(method, "http://"+c.front+path, bytes.NewReader(body))
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+c.front+path, bytes.NewReader(body))
 	if err != nil {
 		a.err = err
 		return a
--- a/review/lab-3/flood.go
+++ b/review/lab-3/flood.go
@@ -21,15 +21,15 @@
 	floodLength   = 20 * time.Second
 )
 
-// largeBodies has clients send many large bodies of legal size at once to a route over shards, and watches the memory of the VM.
-func largeBodies(l *lab) (int, error) {
+// startFloodTier starts three VMs with a route over shards.
+func (l *lab) startFloodTier() error {
 	var shards []string
 	for n := range floodShards {
 		name := "shard-" + strconv.Itoa(n)
 		shards = append(shards, name)
 		for i, zone := range zones[:2] {
 			if _, err := l.addServer(fmt.Sprintf("i-%d-%d", n, i), name, zone, func(s *server) { s.records = true }); err != nil {
-				return failed, err
+				return err
 			}
 		}
 	}
@@ -37,9 +37,17 @@
 		routeEntry{Name: "look", Type: "idempotent", TimeoutMs: 1200, TargetMs: 200, MaxAttempts: 2, Gather: shards, TopK: 10, MinSuccess: 0.89})
 	_ = os.Setenv("GOMAXPROCS", "1") // the platform's machines have one core
 	if err := l.startTier(3, floodMemoryMB, 1000); err != nil {
-		return failed, err
+		return err
 	}
 	time.Sleep(4500 * time.Millisecond) // the VMs are in touch
+	return nil
+}
+
+// largeBodies has clients send many large bodies of legal size at once to a route over shards, and watches the memory of the VM.
+func largeBodies(l *lab) (int, error) {
+	if err := l.startFloodTier(); err != nil {
+		return failed, err
+	}
 	v := l.vms[0]
 	l.logf("before: %s has a resident memory of %d MB at its peak", v.name, v.memory("VmHWM"))
 	end := time.Now().Add(floodLength)
--- a/review/lab-3/lab.go
+++ b/review/lab-3/lab.go
@@ -130,7 +130,7 @@
 
 func main() {
 	cases := map[string]func(l *lab) (int, error){
-		"odd-entry": oddEntry, "stop-transfer": stopTransfer, "large-bodies": largeBodies, "burst": burst,
+		"odd-entry": oddEntry, "large-bodies": largeBodies, "burst": burst, "leave": leave,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: lab-3 CASE RECORD")
