--- a/review/lab-3/server.go
+++ b/review/lab-3/server.go
@@ -21,10 +21,6 @@
 	work              time.Duration
 	answerBytes       int
 	records           bool // answers are records of 16 bytes
-	// rejectOver makes it reject requests with a longer body before it has read that body; 0 for none. It keeps the connection
-	// and reads on after readOn.
-	rejectOver int64
-	readOn     time.Duration
 
 	mu    sync.Mutex
 	runs  []execution
@@ -123,11 +119,9 @@
 	expect := r.Header.Get("X-Pistachioshore-Expect-Instance")
 	switch {
 	case expect != "" && expect != s.id:
-		return s.reply(c, r, 0, "421 Misdirected Request", echo+"X-Pistachioshore-Instance-Id: "+s.id+"\r\n", nil)
-	case s.rejectOver > 0 && r.ContentLength > s.rejectOver:
-		return s.reply(c, r, s.readOn, "503 Service Unavailable", echo+"X-Pistachioshore-Not-Executed: 1\r\n", nil)
+		return s.reply(c, r, "421 Misdirected Request", echo+"X-Pistachioshore-Instance-Id: "+s.id+"\r\n", nil)
 	case r.URL.Path == "/health":
-		return s.reply(c, r, 0, "200 OK", "X-Pistachioshore-Instance-Id: "+s.id+"\r\nX-Pistachioshore-Server-Load: 0,0,6\r\n", nil)
+		return s.reply(c, r, "200 OK", "X-Pistachioshore-Instance-Id: "+s.id+"\r\nX-Pistachioshore-Server-Load: 0,0,6\r\n", nil)
 	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
@@ -139,18 +133,15 @@
 	time.Sleep(s.work)
 	out := s.body(r.RequestURI)
 	head := echo + "X-Pistachioshore-Response-Stamp: " + stamp(s.id, id, out) + "\r\nX-Pistachioshore-Server-Load: 1,0,6\r\n"
-	return s.reply(c, r, 0, "200 OK", head, out)
+	return s.reply(c, r, "200 OK", head, out)
 }
 
-// reply writes a response, and reads what is left of the request after a while.
-func (s *server) reply(c net.Conn, r *http.Request, readOn time.Duration, status, head string, body []byte) bool {
+// reply writes a response, and reads what is left of the request.
+func (s *server) reply(c net.Conn, r *http.Request, status, head string, body []byte) bool {
 	text := fmt.Sprintf("HTTP/1.1 %s\r\n%sContent-Length: %d\r\n\r\n", status, head, len(body))
 	if _, err := c.Write(append([]byte(text), body...)); err != nil {
 		return false
 	}
-	if readOn > 0 {
-		time.Sleep(readOn)
-	}
 	_, err := io.Copy(io.Discard, r.Body)
 	return err == nil
 }
--- a/review/lab-3/store.go
+++ b/review/lab-3/store.go
@@ -14,14 +14,13 @@
 // pageItems is the number of items on a page of a listing.
 const pageItems = 500
 
-// item is an item of the store as it was written, or the deletion of a key.
+// item is an item of the store as it was written.
 type item struct {
 	Key       string `json:"key"`
 	Value     []byte `json:"value,omitempty"`
 	Revision  uint64 `json:"revision"`
 	CreatedAt uint64 `json:"createdAt,omitempty"`
 	Lease     uint64 `json:"lease"`
-	Deleted   bool   `json:"deleted,omitempty"`
 }
 
 // store is a stand-in for the platform's metadata store. It answers reads and keeps its whole history.
@@ -64,15 +63,6 @@
 	s.record(it)
 }
 
-// remove deletes a key.
-func (s *store) remove(key string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.revision++
-	delete(s.items, key)
-	s.record(item{Key: key, Revision: s.revision, Deleted: true})
-}
-
 func (s *store) record(it item) {
 	s.history = append(s.history, it)
 	close(s.changed)
--- a/review/lab-3/vm.go
+++ b/review/lab-3/vm.go
@@ -121,16 +121,6 @@
 	}
 }
 
-// waitExit waits until the process has ended and reports whether it did in time.
-func (v *vm) waitExit(limit time.Duration) bool {
-	select {
-	case <-v.exited:
-		return true
-	case <-time.After(limit):
-		return false
-	}
-}
-
 // stop kills the process.
 func (v *vm) stop() {
 	if v.cmd == nil || v.cmd.Process == nil {
